Build the whole path thin, in separate processes

What is here: kernel, pure decisions, MessagePack frames over TCP, clients, stand-ins (member, platform), proxy (entry and pooler), failover, ctl, timeline, load tool. Found on the way, each with a test in FrameCodecTest that failed first: - the trailing-token check of the mapper reports the end of a MessagePack frame as an error, so that no peer message was ever read (the frame's length delimits it); - Jackson took MemberStatus.isPrimary() for a property named primary, so that the name of the followed primary was sent as a truth value.

--- /dev/null
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/Reply.java
@@ -0,0 +1,30 @@
+package org.hickoryshed.client.http;
+
+import java.net.http.HttpHeaders;
+import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.kernel.result.Result;
+
+/**
+ * A reply of an HTTP service.
+ *
+ * @param status The HTTP status code.
+ * @param body The body.
+ * @param headers The headers.
+ */
+public record Reply(int status, byte[] body, HttpHeaders headers) {
+
+  /**
+   * Reads the body.
+   *
+   * @param type The type of the value.
+   * @param <T> The type of the value.
+   * @return The value or the failure of a malformed body.
+   */
+  public <T> Result<T, CallFailure> as(Class<T> type) {
+    return switch (Json.read(body, type)) {
+      case Result.Success<T, Json.Malformed>(T value) -> Result.success(value);
+      case Result.Failed<T, Json.Malformed>(Json.Malformed malformed) ->
+          Result.failure(new CallFailure.Malformed(malformed.detail()));
+    };
+  }
+}
--- /dev/null
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/member/package-info.java
@@ -0,0 +1,2 @@
+/** The client of database members. */
+package org.hickoryshed.client.member;
--- /dev/null
+++ b/hickoryshed-control/src/main/java/org/hickoryshed/control/ControlMain.java
@@ -0,0 +1,278 @@
+package org.hickoryshed.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryshed.client.http.HttpCaller;
+import org.hickoryshed.client.platform.StoreClient;
+import org.hickoryshed.client.platform.StoreClient.Versioned;
+import org.hickoryshed.decision.configuration.Configuration;
+import org.hickoryshed.kernel.command.Daemon;
+import org.hickoryshed.kernel.result.Result;
+import org.hickoryshed.kernel.settings.SettingsProblem;
+import org.hickoryshed.kernel.settings.SettingsReader;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** The binary {@code hickoryshed-ctl}. */
+public final class ControlMain {
+
+  /** The name of the binary. */
+  private static final String NAME = "hickoryshed-ctl";
+
+  /** The exit code of a failed command. */
+  private static final int EXIT_FAILED = 1;
+
+  /** The longest time to wait for a proxy. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  /** The help page. */
+  private static final String HELP =
+      """
+      usage: hickoryshed-ctl [options] COMMAND [FILE]
+
+      commands:
+        get            print both tables as TOML, with the revision they are of
+        pools, routes  print one table
+        check FILE     check a file without applying it
+        diff FILE      show what applying a file would change
+        apply FILE     apply a file; its "revision" must be the accepted one
+        history        list the accepted edits
+        status         show the revision that each proxy (--proxy) has in force
+
+      exit codes: 0 done, 1 refused or failed, 2 wrong usage or faulty file
+
+      options:
+      """;
+
+  /** The address of the platform's store. */
+  @Option(name = "--store", metaVar = "IP:PORT", usage = "the address of the platform's store")
+  private String storeAddress = "127.0.0.1:7000";
+
+  /** The admin addresses of proxies. */
+  @Option(name = "--proxy", metaVar = "IP:PORT", usage = "the admin address of a proxy; repeatable")
+  private List<String> proxies = new ArrayList<>();
+
+  /** The name of the operator. */
+  @Option(name = "--operator", metaVar = "NAME", usage = "the name to record in the history")
+  private String operator = System.getProperty("user.name", "unknown");
+
+  /** True if the usage is to be printed. */
+  @Option(name = "--help", help = true, usage = "print this page and exit")
+  private boolean help;
+
+  /** The command. */
+  @Argument(index = 0, metaVar = "COMMAND", usage = "what to do")
+  private String command = "";
+
+  /** The file. */
+  @Argument(index = 1, metaVar = "FILE", usage = "the TOML file with the tables")
+  private String file = "";
+
+  /** The caller of the store and the proxies. */
+  private final HttpCaller caller = new HttpCaller(InetAddress.getLoopbackAddress());
+
+  /** This class is instantiated by its main method only. */
+  private ControlMain() {}
+
+  /**
+   * Runs a command.
+   *
+   * @param arguments The arguments of the command line.
+   */
+  public static void main(String[] arguments) {
+    ControlMain control = new ControlMain();
+    CmdLineParser parser = new CmdLineParser(control);
+    try {
+      parser.parseArgument(arguments);
+    } catch (CmdLineException exception) {
+      System.err.println(NAME + ": " + exception.getMessage());
+      System.exit(Daemon.EXIT_USAGE);
+    }
+    if (control.help || control.command.isEmpty()) {
+      System.out.print(HELP);
+      parser.printUsage(System.out);
+      System.exit(control.help ? 0 : Daemon.EXIT_USAGE);
+    }
+    System.exit(control.run());
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @return The exit code.
+   */
+  private int run() {
+    TableEditor editor = new TableEditor(new StoreClient(caller, storeAddress), operator);
+    return switch (command) {
+      case "get" -> print(editor, true, true);
+      case "pools" -> print(editor, true, false);
+      case "routes" -> print(editor, false, true);
+      case "check" -> check();
+      case "diff" -> diff(editor);
+      case "apply" -> apply(editor);
+      case "history" -> history(editor);
+      case "status" -> status();
+      default -> {
+        System.err.println(NAME + ": no command " + command + "; see --help");
+        yield Daemon.EXIT_USAGE;
+      }
+    };
+  }
+
+  /**
+   * Prints the accepted tables.
+   *
+   * @param editor The editor.
+   * @param pools {@code true} to print the pools.
+   * @param routes {@code true} to print the routes.
+   * @return The exit code.
+   */
+  private static int print(TableEditor editor, boolean pools, boolean routes) {
+    return switch (editor.current()) {
+      case Result.Failed<Versioned<Configuration>, EditFailure>(EditFailure failure) ->
+          fail(failure);
+      case Result.Success<Versioned<Configuration>, EditFailure>(
+              Versioned<Configuration> accepted) -> {
+        System.out.print(TableWriter.write(accepted.value(), pools, routes));
+        yield 0;
+      }
+    };
+  }
+
+  /**
+   * Checks the file.
+   *
+   * @return The exit code.
+   */
+  private int check() {
+    return switch (TableReader.read(SettingsReader.of(Path.of(file)), "")) {
+      case Result.Failed<Configuration, List<SettingsProblem>>(List<SettingsProblem> problems) ->
+          fail(new EditFailure.Faulty(problems));
+      case Result.Success<Configuration, List<SettingsProblem>> ignored -> {
+        System.out.println("the tables are right");
+        yield 0;
+      }
+    };
+  }
+
+  /**
+   * Shows what applying the file would change.
+   *
+   * @param editor The editor.
+   * @return The exit code.
+   */
+  private int diff(TableEditor editor) {
+    Result<Configuration, List<SettingsProblem>> read =
+        TableReader.read(SettingsReader.of(Path.of(file)), "");
+    if (read instanceof Result.Failed<Configuration, List<SettingsProblem>> failed) {
+      return fail(new EditFailure.Faulty(failed.failure()));
+    }
+    Optional<Versioned<Configuration>> accepted = editor.current().value();
+    if (accepted.isEmpty()) {
+      return fail(new EditFailure.StoreLost("the store did not answer"));
+    }
+    TableEditor.difference(accepted.get().value(), read.value().orElseThrow())
+        .forEach(System.out::println);
+    return 0;
+  }
+
+  /**
+   * Applies the file.
+   *
+   * @param editor The editor.
+   * @return The exit code.
+   */
+  private int apply(TableEditor editor) {
+    return switch (editor.apply(SettingsReader.of(Path.of(file)))) {
+      case Result.Failed<Configuration, EditFailure>(EditFailure failure) -> fail(failure);
+      case Result.Success<Configuration, EditFailure>(Configuration accepted) -> {
+        System.out.println("accepted as revision " + accepted.revision());
+        yield 0;
+      }
+    };
+  }
+
+  /**
+   * Lists the accepted edits.
+   *
+   * @param editor The editor.
+   * @return The exit code.
+   */
+  private static int history(TableEditor editor) {
+    return switch (editor.history()) {
+      case Result.Failed<History, EditFailure>(EditFailure failure) -> fail(failure);
+      case Result.Success<History, EditFailure>(History history) -> {
+        for (History.Edit edit : history.edits()) {
+          System.out.printf(
+              "%6d  %s  %-12s  %s%n", edit.revision(), edit.time(), edit.operator(), edit.editId());
+        }
+        yield 0;
+      }
+    };
+  }
+
+  /**
+   * Shows what each proxy has in force.
+   *
+   * @return The exit code, failed if a proxy did not answer.
+   */
+  private int status() {
+    int exit = 0;
+    System.out.printf(
+        "%-22s %-10s %-12s %8s %8s %6s%n", "address", "name", "domain", "revision", "vms", "ready");
+    for (String proxy : proxies) {
+      Optional<JsonNode> status =
+          caller
+              .call("GET", proxy, "/status", null, TIMEOUT)
+              .value()
+              .flatMap(reply -> reply.as(JsonNode.class).value());
+      if (status.isEmpty()) {
+        System.out.printf("%-22s no answer%n", proxy);
+        exit = EXIT_FAILED;
+        continue;
+      }
+      System.out.printf(
+          "%-22s %-10s %-12s %8s %8s %6s%n",
+          proxy,
+          status.get().path("name").asText(),
+          status.get().path("domain").asText(),
+          status.get().path("configurationRevision").asText(),
+          status.get().path("vmListRevision").asText(),
+          status.get().path("ready").asText());
+    }
+    return exit;
+  }
+
+  /**
+   * Prints a failure.
+   *
+   * @param failure The failure.
+   * @return The exit code.
+   */
+  private static int fail(EditFailure failure) {
+    return switch (failure) {
+      case EditFailure.Faulty(List<SettingsProblem> problems) -> {
+        problems.forEach(problem -> System.err.println(NAME + ": " + problem));
+        yield Daemon.EXIT_USAGE;
+      }
+      case EditFailure.Conflict(long expected, long current, List<String> difference) -> {
+        System.err.printf(
+            "%s: conflict: the file is based on revision %d, but revision %d is accepted%n",
+            NAME, expected, current);
+        difference.forEach(line -> System.err.println("  " + line));
+        yield EXIT_FAILED;
+      }
+      case EditFailure.StoreLost(String detail) -> {
+        System.err.println(NAME + ": the store can't be asked: " + detail);
+        yield EXIT_FAILED;
+      }
+    };
+  }
+}
--- /dev/null
+++ b/hickoryshed-control/src/main/java/org/hickoryshed/control/TableReader.java
@@ -0,0 +1,164 @@
+package org.hickoryshed.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryshed.decision.configuration.Configuration;
+import org.hickoryshed.decision.configuration.ConfigurationCheck;
+import org.hickoryshed.decision.configuration.ConfigurationProblem;
+import org.hickoryshed.decision.configuration.Database;
+import org.hickoryshed.decision.configuration.Member;
+import org.hickoryshed.decision.configuration.Pool;
+import org.hickoryshed.decision.configuration.Route;
+import org.hickoryshed.kernel.result.Result;
+import org.hickoryshed.kernel.settings.SettingsProblem;
+import org.hickoryshed.kernel.settings.SettingsReader;
+
+/** Reads routes and pools from a TOML file. */
+final class TableReader {
+
+  /** The default time in which requests are answered. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  /** The default cost from which work counts as long. */
+  private static final Duration LONG_WORK = Duration.ofMillis(50);
+
+  /** The lowest priority. */
+  private static final int LOWEST_PRIORITY = 9;
+
+  /** The default priority. */
+  private static final int DEFAULT_PRIORITY = 5;
+
+  /** The reader. */
+  private final SettingsReader reader;
+
+  /**
+   * Creates a new reader.
+   *
+   * @param reader The reader of the file.
+   */
+  private TableReader(SettingsReader reader) {
+    this.reader = reader;
+  }
+
+  /**
+   * Reads both tables.
+   *
+   * @param reader The reader of the file.
+   * @param editId The identifier of the edit.
+   * @return The tables, with the revision that they are based on, or all problems.
+   */
+  static Result<Configuration, List<SettingsProblem>> read(SettingsReader reader, String editId) {
+    TableReader tables = new TableReader(reader);
+    int revision = reader.integer("revision", 0, 0, Integer.MAX_VALUE);
+    List<Pool> pools = tables.pools();
+    List<Route> routes = tables.routes();
+    Configuration configuration = new Configuration(revision, editId, routes, pools);
+    ConfigurationCheck.problems(configuration).forEach(tables::report);
+    List<SettingsProblem> problems = reader.problems();
+    return problems.isEmpty() ? Result.success(configuration) : Result.failure(problems);
+  }
+
+  /**
+   * Reports a problem of the tables with the key at which it stands.
+   *
+   * @param problem The problem.
+   */
+  private void report(ConfigurationProblem problem) {
+    switch (problem) {
+      case ConfigurationProblem.MissingPool(String path, String pool) ->
+          reader.problem(path, pool, "the name of a pool");
+      case ConfigurationProblem.DuplicateName(String path, String name) ->
+          reader.problem(path, name, "a name that stands once");
+      case ConfigurationProblem.UnsupportedGroupSize(String path, int members) ->
+          reader.problem(path, members + " members", "1 to 9 members");
+      case ConfigurationProblem.EmptyPool(String path) ->
+          reader.problem(path, "no database", "at least one database");
+      case ConfigurationProblem.OutOfRange(String path, long value, long minimum, long maximum) ->
+          reader.problem(path, String.valueOf(value), "from " + minimum + " to " + maximum);
+    }
+  }
+
+  /**
+   * Reads the pools.
+   *
+   * @return The pools.
+   */
+  private List<Pool> pools() {
+    List<Pool> pools = new ArrayList<>();
+    for (String name : reader.tables("pools")) {
+      String key = "pools." + name + ".";
+      pools.add(
+          new Pool(
+              name,
+              databases(key + "databases"),
+              reader.integer(key + "connections", 16, 1, 10_000),
+              reader.integer(key + "slots", 2, 1, 1_000),
+              reader.choice(key + "scheduling", Pool.Scheduling.class, Pool.Scheduling.SHORT_FIRST),
+              millis(key + "long-work", LONG_WORK)));
+    }
+    return pools;
+  }
+
+  /**
+   * Reads the databases of a pool.
+   *
+   * @param parent The key of the databases.
+   * @return The databases.
+   */
+  private List<Database> databases(String parent) {
+    List<Database> databases = new ArrayList<>();
+    for (String name : reader.tables(parent)) {
+      String membersKey = parent + "." + name + ".members";
+      List<Member> members = new ArrayList<>();
+      for (String member : reader.tables(membersKey)) {
+        String key = membersKey + "." + member + ".";
+        reader.address(key + "address");
+        members.add(
+            new Member(
+                member,
+                reader.text(key + "address"),
+                reader.text(key + "domain"),
+                reader.text(key + "region")));
+      }
+      databases.add(new Database(name, members));
+    }
+    return databases;
+  }
+
+  /**
+   * Reads the routes.
+   *
+   * @return The routes.
+   */
+  private List<Route> routes() {
+    List<Route> routes = new ArrayList<>();
+    for (String name : reader.tables("routes")) {
+      String key = "routes." + name + ".";
+      Optional<Integer> maxAge =
+          reader.optionalDuration(key + "max-age").map(age -> (int) age.toMillis());
+      routes.add(
+          new Route(
+              name,
+              reader.text(key + "pool"),
+              reader.choice(key + "access", Route.Access.class, Route.Access.WRITE),
+              reader.choice(key + "reads", Route.Reads.class, Route.Reads.REPLICAS),
+              maxAge,
+              millis(key + "timeout", TIMEOUT),
+              reader.integer(key + "priority", DEFAULT_PRIORITY, 0, LOWEST_PRIORITY)));
+    }
+    return routes;
+  }
+
+  /**
+   * Reads a duration.
+   *
+   * @param key The dotted key.
+   * @param fallback The value if the key is missing.
+   * @return The duration in milliseconds.
+   */
+  private int millis(String key, Duration fallback) {
+    return (int) reader.duration(key, fallback).toMillis();
+  }
+}
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/commit/package-info.java
@@ -0,0 +1,2 @@
+/** The confirmation of positions by a majority of members. */
+package org.hickoryshed.decision.commit;
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The routes and pools that operators edit, their checks and their adoption. */
+package org.hickoryshed.decision.configuration;
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Live VMs and the rendezvous choices over them. */
+package org.hickoryshed.decision.membership;
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/pool/WorkEnd.java
@@ -0,0 +1,14 @@
+package org.hickoryshed.decision.pool;
+
+/** How work that was started ended. */
+public enum WorkEnd {
+
+  /** The member answered completely. */
+  ANSWERED,
+
+  /** The member refused the work before running it. */
+  REFUSED,
+
+  /** No complete answer came: a statement may still be in flight. */
+  LOST
+}
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/session/package-info.java
@@ -0,0 +1,2 @@
+/** What a caller has written and read. */
+package org.hickoryshed.decision.session;
--- /dev/null
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/topology/package-info.java
@@ -0,0 +1,2 @@
+/** Members of databases and what is known of their logs. */
+package org.hickoryshed.decision.topology;
--- /dev/null
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/Failover.java
@@ -0,0 +1,133 @@
+package org.hickoryshed.failover;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hickoryshed.client.http.HttpCaller;
+import org.hickoryshed.client.member.MemberClient;
+import org.hickoryshed.decision.configuration.Database;
+import org.hickoryshed.decision.topology.MemberStatus;
+import org.hickoryshed.kernel.command.Daemon;
+import org.hickoryshed.kernel.event.EventRecorder;
+import org.hickoryshed.kernel.http.AdminHandler;
+import org.hickoryshed.kernel.http.HttpServer;
+import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.kernel.service.Kernel;
+import org.hickoryshed.kernel.service.Service;
+import org.hickoryshed.protocol.message.Message;
+import org.hickoryshed.protocol.peer.Peers;
+
+/** The failover process of one VM. */
+final class Failover implements Service {
+
+  /** The settings. */
+  private final FailoverSettings settings;
+
+  /** The event recorder. */
+  private final EventRecorder recorder;
+
+  /** The client of the members. */
+  private final MemberClient client;
+
+  /** The other failover processes and the proxies. */
+  private final Peers peers;
+
+  /** The source of the documents. */
+  private final DocumentSource documents;
+
+  /** The guards by the names of the databases. */
+  private final Map<String, DatabaseGuard> guards = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a new failover process.
+   *
+   * @param kernel The kernel to register the services of the process with.
+   * @param settings The settings.
+   */
+  private Failover(Kernel kernel, FailoverSettings settings) {
+    this.settings = settings;
+    Metrics metrics = kernel.register("metrics", new Metrics());
+    recorder = kernel.register("events", Daemon.recorder(settings.name() + "-failover"));
+    client = new MemberClient(new HttpCaller(settings.peerAddress().getAddress()));
+    peers =
+        kernel.register(
+            "peers", new Peers(settings.peerAddress(), this::answer, recorder, metrics));
+    documents =
+        kernel.register("documents", new DocumentSource(settings, peers, this::adaptGuards));
+    AdminHandler admin =
+        new AdminHandler(metrics, recorder, () -> true, this::status, AdminHandler::notFound);
+    kernel.register("admin", new HttpServer(settings.adminAddress(), admin));
+    kernel.register("failover", this);
+  }
+
+  /**
+   * Registers the services of a failover process.
+   *
+   * @param kernel The kernel.
+   * @param settings The settings.
+   */
+  static void assemble(Kernel kernel, FailoverSettings settings) {
+    new Failover(kernel, settings);
+  }
+
+  @Override
+  public void start() {
+    recorder.record("started", "domain", settings.domain());
+  }
+
+  @Override
+  public void stop() {
+    guards.values().forEach(DatabaseGuard::stop);
+    recorder.record("stopped");
+  }
+
+  /**
+   * Answers another failover process.
+   *
+   * @param message The request.
+   * @return The reply.
+   */
+  private Message answer(Message message) {
+    if (message instanceof Message.AskWitness(String database, String member)) {
+      DatabaseGuard guard = guards.get(database);
+      return guard == null
+          ? new Message.Unsupported("no guard of " + database)
+          : new Message.Witness(settings.domain(), guard.reaches(member));
+    }
+    return new Message.Unsupported(message.getClass().getSimpleName());
+  }
+
+  /** Starts, replaces and stops guards after a change of the configuration. */
+  private synchronized void adaptGuards() {
+    List<Database> databases = documents.configuration().databases();
+    guards
+        .values()
+        .removeIf(
+            guard -> {
+              boolean gone = !databases.contains(guard.database());
+              if (gone) {
+                guard.stop();
+              }
+              return gone;
+            });
+    for (Database database : databases) {
+      guards.computeIfAbsent(
+          database.name(),
+          name -> {
+            DatabaseGuard guard =
+                new DatabaseGuard(settings, database, documents, client, peers, recorder);
+            guard.start();
+            return guard;
+          });
+    }
+  }
+
+  /**
+   * Returns the status for operators.
+   *
+   * @return The latest statuses of all members.
+   */
+  private List<MemberStatus> status() {
+    return guards.values().stream().flatMap(guard -> guard.statuses().stream()).toList();
+  }
+}
--- /dev/null
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/package-info.java
@@ -0,0 +1,2 @@
+/** The failover process: it watches primaries and promotes successors. */
+package org.hickoryshed.failover;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line frame shared by all binaries. */
+package org.hickoryshed.kernel.command;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/event/Event.java
@@ -0,0 +1,19 @@
+package org.hickoryshed.kernel.event;
+
+import java.util.Map;
+
+/**
+ * An event of a process.
+ *
+ * @param time The hybrid logical time of the event.
+ * @param process The name of the process.
+ * @param incarnation The identifier of this run of the process.
+ * @param type The type of the event.
+ * @param attributes The attributes of the event.
+ */
+public record Event(
+    HybridTime time,
+    String process,
+    String incarnation,
+    String type,
+    Map<String, String> attributes) {}
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/event/package-info.java
@@ -0,0 +1,2 @@
+/** Recorded events with hybrid logical time. */
+package org.hickoryshed.kernel.event;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/Json.java
@@ -0,0 +1,105 @@
+package org.hickoryshed.kernel.json;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.cfg.MapperBuilder;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import org.hickoryshed.kernel.result.Result;
+
+/** Reads and writes values as JSON by the conventions of all processes. */
+public final class Json {
+
+  /** The shared mapper. */
+  private static final ObjectMapper MAPPER = configure(JsonMapper.builder()).build();
+
+  /** This class is not instantiated. */
+  private Json() {}
+
+  /**
+   * Applies the shared conventions to a mapper of any format.
+   *
+   * @param builder The builder of the mapper.
+   * @param <M> The type of the mapper.
+   * @param <B> The type of the builder.
+   * @return The supplied builder.
+   */
+  public static <M extends ObjectMapper, B extends MapperBuilder<M, B>> B configure(B builder) {
+    return builder
+        .addModule(new Jdk8Module())
+        .serializationInclusion(JsonInclude.Include.NON_ABSENT)
+        .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+        .disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
+        .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS);
+  }
+
+  /**
+   * Returns the shared mapper.
+   *
+   * @return The shared mapper.
+   */
+  public static ObjectMapper mapper() {
+    return MAPPER;
+  }
+
+  /**
+   * Writes a value.
+   *
+   * @param value The value.
+   * @return The value as JSON.
+   */
+  public static byte[] write(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException exception) {
+      throw new IllegalArgumentException(exception);
+    }
+  }
+
+  /**
+   * Reads a value.
+   *
+   * @param content The JSON to read.
+   * @param type The type of the value.
+   * @param <T> The type of the value.
+   * @return The value or the reason why the content is malformed.
+   */
+  public static <T> Result<T, Malformed> read(byte[] content, Class<T> type) {
+    try {
+      T value = MAPPER.readValue(content, type);
+      return value == null ? Result.failure(new Malformed("empty")) : Result.success(value);
+    } catch (JsonProcessingException exception) {
+      return Result.failure(new Malformed(exception.getOriginalMessage()));
+    } catch (IOException exception) {
+      return Result.failure(new Malformed(exception.getMessage()));
+    }
+  }
+
+  /**
+   * Converts a tree to a value.
+   *
+   * @param node The tree.
+   * @param type The type of the value.
+   * @param <T> The type of the value.
+   * @return The value or the reason why the tree does not describe one.
+   */
+  public static <T> Result<T, Malformed> convert(JsonNode node, Class<T> type) {
+    try {
+      return Result.success(MAPPER.treeToValue(node, type));
+    } catch (JsonProcessingException exception) {
+      return Result.failure(new Malformed(exception.getOriginalMessage()));
+    }
+  }
+
+  /**
+   * A failure to read malformed content.
+   *
+   * @param detail What is wrong with the content.
+   */
+  public record Malformed(String detail) {}
+}
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/package-info.java
@@ -0,0 +1,2 @@
+/** The JSON conventions shared by all processes. */
+package org.hickoryshed.kernel.json;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of a process. */
+package org.hickoryshed.kernel.metric;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/result/package-info.java
@@ -0,0 +1,2 @@
+/** Typed results of operations that may fail. */
+package org.hickoryshed.kernel.result;
--- /dev/null
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings that are read from TOML and checked as a whole. */
+package org.hickoryshed.kernel.settings;
--- /dev/null
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/demonstration/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration of the quickstart. */
+package org.hickoryshed.load.demonstration;
--- /dev/null
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/package-info.java
@@ -0,0 +1,2 @@
+/** The load and experiment tool. */
+package org.hickoryshed.load;
--- /dev/null
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/message/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between the system's own processes. */
+package org.hickoryshed.protocol.message;
--- /dev/null
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Framed TCP connections between the system's own processes. */
+package org.hickoryshed.protocol.peer;
--- /dev/null
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/statement/package-info.java
@@ -0,0 +1,2 @@
+/** Statements and their outcomes. */
+package org.hickoryshed.protocol.statement;
--- /dev/null
+++ b/hickoryshed-protocol/src/test/java/org/hickoryshed/protocol/message/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the messages between the system's own processes. */
+package org.hickoryshed.protocol.message;
--- /dev/null
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
@@ -0,0 +1,151 @@
+package org.hickoryshed.proxy;
+
+import java.time.Duration;
+import org.hickoryshed.client.http.HttpCaller;
+import org.hickoryshed.client.member.MemberClient;
+import org.hickoryshed.client.platform.StoreClient;
+import org.hickoryshed.client.platform.VmListClient;
+import org.hickoryshed.kernel.command.Daemon;
+import org.hickoryshed.kernel.event.EventRecorder;
+import org.hickoryshed.kernel.http.AdminHandler;
+import org.hickoryshed.kernel.http.HttpServer;
+import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.kernel.service.Kernel;
+import org.hickoryshed.kernel.service.Service;
+import org.hickoryshed.protocol.peer.Peers;
+import org.hickoryshed.proxy.document.DocumentFeed;
+import org.hickoryshed.proxy.document.Documents;
+import org.hickoryshed.proxy.entry.EntryHandler;
+import org.hickoryshed.proxy.pooler.Poolers;
+
+/** A proxy: the entry, the poolers and the documents of one VM. */
+public final class Proxy implements Service {
+
+  /** The settings. */
+  private final ProxySettings settings;
+
+  /** The documents in force. */
+  private final Documents documents;
+
+  /** The poolers. */
+  private final Poolers poolers;
+
+  /** The server for callers. */
+  private final HttpServer callers;
+
+  /** The event recorder. */
+  private final EventRecorder recorder;
+
+  /** True while this proxy drains. */
+  private volatile boolean draining;
+
+  /**
+   * Creates a new proxy out of the services of a kernel.
+   *
+   * @param kernel The kernel.
+   * @param settings The settings.
+   */
+  private Proxy(Kernel kernel, ProxySettings settings) {
+    this.settings = settings;
+    documents = kernel.service("documents", Documents.class);
+    poolers = kernel.service("poolers", Poolers.class);
+    callers = kernel.service("callers", HttpServer.class);
+    recorder = kernel.service("events", EventRecorder.class);
+  }
+
+  /**
+   * Registers the services of a proxy.
+   *
+   * @param kernel The kernel.
+   * @param settings The settings.
+   * @return The proxy.
+   */
+  public static Proxy assemble(Kernel kernel, ProxySettings settings) {
+    Metrics metrics = kernel.register("metrics", new Metrics());
+    EventRecorder recorder = kernel.register("events", Daemon.recorder(settings.name()));
+    HttpCaller caller =
+        kernel.register("http", new HttpCaller(settings.peerAddress().getAddress()));
+    Documents documents = kernel.register("documents", new Documents(recorder, metrics));
+    MemberClient members = kernel.register("members", new MemberClient(caller));
+    Poolers poolers =
+        kernel.register("poolers", new Poolers(settings, documents, members, metrics, recorder));
+    Peers peers =
+        kernel.register(
+            "peers",
+            new Peers(
+                settings.peerAddress(), new PeerRequests(documents, poolers), recorder, metrics));
+    kernel.register(
+        "document-feed",
+        new DocumentFeed(
+            settings,
+            documents,
+            new StoreClient(caller, ProxySettings.text(settings.storeAddress())),
+            new VmListClient(caller, ProxySettings.text(settings.vmListAddress())),
+            peers,
+            recorder));
+    EntryHandler entry = new EntryHandler(settings, documents, peers, poolers, metrics);
+    kernel.register("callers", new HttpServer(settings.callerAddress(), entry.handler()));
+    Proxy proxy = kernel.register("proxy", new Proxy(kernel, settings));
+    AdminHandler admin =
+        new AdminHandler(metrics, recorder, proxy::isReady, proxy::status, AdminHandler::notFound);
+    kernel.register("admin", new HttpServer(settings.adminAddress(), admin));
+    return proxy;
+  }
+
+  @Override
+  public void start() {
+    recorder.record("started", "domain", settings.domain());
+  }
+
+  @Override
+  public void stop() {
+    recorder.record("stopped", "quiet", poolers.isQuiet());
+  }
+
+  /**
+   * Hands the work of this proxy over and finishes what is in flight.
+   *
+   * @param poll The time between two looks at the poolers.
+   */
+  public void drain(Duration poll) {
+    draining = true;
+    recorder.record("draining", "delay", settings.drainDelay(), "bound", settings.drainBound());
+    poolers.drain();
+    long end = System.nanoTime() + settings.drainBound().toNanos();
+    try {
+      Thread.sleep(settings.drainDelay());
+      boolean finished = callers.drain(settings.drainBound());
+      while (!poolers.isQuiet() && System.nanoTime() < end) {
+        Thread.sleep(poll);
+      }
+      recorder.record("drained", "finished", finished && poolers.isQuiet());
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Checks if this proxy accepts requests.
+   *
+   * @return {@code true} if this proxy has a configuration and does not drain.
+   */
+  private boolean isReady() {
+    return !draining && documents.configuration().revision() > 0;
+  }
+
+  /**
+   * Returns the status for operators.
+   *
+   * @return The status.
+   */
+  private ProxyStatus status() {
+    return new ProxyStatus(
+        settings.name(),
+        settings.domain(),
+        recorder.incarnation(),
+        documents.configuration().revision(),
+        documents.vmList().revision(),
+        isReady(),
+        poolers.status());
+  }
+}
--- /dev/null
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/document/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration and the VM list in force, and how they arrive. */
+package org.hickoryshed.proxy.document;
--- /dev/null
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The binary of the proxy and its assembly. */
+package org.hickoryshed.proxy;
--- /dev/null
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/package-info.java
@@ -0,0 +1,2 @@
+/** The poolers: one scheduler for all connections to a database member. */
+package org.hickoryshed.proxy.pooler;
--- /dev/null
+++ b/hickoryshed-standin/src/main/java/org/hickoryshed/standin/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that are switched on in stand-ins. */
+package org.hickoryshed.standin.fault;
--- /dev/null
+++ b/hickoryshed-standin/src/main/java/org/hickoryshed/standin/member/StatementRunner.java
@@ -0,0 +1,75 @@
+package org.hickoryshed.standin.member;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import java.util.List;
+import java.util.Optional;
+import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.protocol.statement.Statement;
+
+/** Runs the few statements that a member stand-in knows. */
+final class StatementRunner {
+
+  /** The largest number of generated rows. */
+  private static final int MAXIMUM_ROWS = 10_000;
+
+  /** This class is not instantiated. */
+  private StatementRunner() {}
+
+  /**
+   * Returns the changes that a statement makes.
+   *
+   * @param statement The statement.
+   * @return The changes or an empty optional if the statement is not known.
+   */
+  static Optional<List<LogEntry.Change>> changes(Statement statement) {
+    JsonNode arguments = statement.arguments();
+    String object = arguments.path("object").asText();
+    String value = arguments.path("value").asText();
+    return switch (statement.name()) {
+      case "put" -> Optional.of(List.of(new LogEntry.Change(object, value, false)));
+      case "append" -> Optional.of(List.of(new LogEntry.Change(object, value, true)));
+      case "get", "rows", "wait" -> Optional.of(List.of());
+      default -> Optional.empty();
+    };
+  }
+
+  /**
+   * Returns the rows that a statement reads.
+   *
+   * @param statement The statement.
+   * @param objects The applied objects.
+   * @return The rows.
+   */
+  static ArrayNode rows(Statement statement, Objects objects) {
+    ArrayNode rows = Json.mapper().createArrayNode();
+    JsonNode arguments = statement.arguments();
+    switch (statement.name()) {
+      case "get" ->
+          objects
+              .values(arguments.path("object").asText())
+              .forEach(value -> rows.addObject().put("value", value));
+      case "rows" -> {
+        int count = Math.min(MAXIMUM_ROWS, arguments.path("count").asInt());
+        for (int index = 0; index < count; index++) {
+          rows.addObject().put("value", "row-" + index);
+        }
+      }
+      default -> {
+        // The other statements return no rows.
+      }
+    }
+    return rows;
+  }
+
+  /**
+   * Returns how long a statement takes.
+   *
+   * @param statement The statement.
+   * @param minimum The shortest time in milliseconds.
+   * @return The time in milliseconds.
+   */
+  static long cost(Statement statement, int minimum) {
+    return Math.max(minimum, statement.arguments().path("cost").asInt());
+  }
+}
--- /dev/null
+++ b/hickoryshed-standin/src/main/java/org/hickoryshed/standin/package-info.java
@@ -0,0 +1,2 @@
+/** The binary that runs stand-ins as processes. */
+package org.hickoryshed.standin;
--- /dev/null
+++ b/hickoryshed-timeline/src/main/java/org/hickoryshed/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The time line of events over all processes. */
+package org.hickoryshed.timeline;
