Forget what replicas name as primary when a primary fails

Cause: after a primary was killed its entry forgot the primary's own status, but the statuses of the replicas still named it, so no round of questions was ever started. Ruled out: the failover process (its time line showed the promotion 90 ms after the suspicion), the confirmation, the pooler's connections. Also: only retries that may have cost a database work use the retry budget; a wait for a primary does not.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/topology/DatabaseView.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/topology/DatabaseView.java
@@ -52,14 +52,18 @@
   }
 
   /**
-   * Removes the status of a member.
+   * Removes all that is known of a member, also what other members know of it as primary.
    *
    * @param member The name of the member.
-   * @return The view without the status.
+   * @return The view without the member.
    */
   public DatabaseView without(String member) {
     Map<String, MemberStatus> next = new HashMap<>(statuses);
-    next.remove(member);
+    next.values()
+        .removeIf(
+            status ->
+                status.member().equals(member)
+                    || status.primary().filter(member::equals).isPresent());
     return new DatabaseView(next);
   }
 
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/ReadPath.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/ReadPath.java
@@ -56,7 +56,7 @@
           return latest;
         }
       }
-      if (request.isExpired() || !budget.tryRetry()) {
+      if (request.isExpired() || (reachedMember(latest) && !budget.tryRetry())) {
         return toNotRun(latest);
       }
       Pause.millis(ROUND_PAUSE);
@@ -160,6 +160,20 @@
     };
   }
 
+  /**
+   * Checks if an attempt cost a database work, so that repeating it needs the budget.
+   *
+   * @param outcome The outcome of the attempt.
+   * @return {@code true} if a member was reached.
+   */
+  private static boolean reachedMember(Outcome outcome) {
+    return switch (outcome) {
+      case Outcome.NotRun notRun -> notRun.reason() == Reason.OVERLOADED;
+      case Outcome.Unknown ignored -> true;
+      case Outcome.Done ignored -> true;
+    };
+  }
+
   /**
    * Turns an unknown outcome of a read into one that did not run, because a read has no effect.
    *
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/WriteAttempts.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/WriteAttempts.java
@@ -29,7 +29,6 @@
    * @return {@code true} if another attempt may be made.
    */
   boolean mayRetry(Outcome latest) {
-    boolean mayHaveRun = outcome instanceof Outcome.Unknown;
     return switch (latest) {
       case Outcome.Done done -> {
         outcome = done;
@@ -44,14 +43,24 @@
         yield false;
       }
       case Outcome.NotRun notRun -> {
-        if (!mayHaveRun) {
+        boolean earlier = mayHaveRun();
+        if (!earlier) {
           outcome = notRun;
         }
-        yield mayHaveRun || isPassing(notRun.reason());
+        yield earlier || isPassing(notRun.reason());
       }
     };
   }
 
+  /**
+   * Checks if an attempt may have run.
+   *
+   * @return {@code true} if an attempt may have run and is not resolved yet.
+   */
+  boolean mayHaveRun() {
+    return outcome instanceof Outcome.Unknown;
+  }
+
   /**
    * Returns the outcome of all attempts.
    *
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/WritePath.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/WritePath.java
@@ -43,7 +43,7 @@
               attempts.outcome(), executed.status(), executed.transaction());
         }
       }
-      if (request.isExpired() || (primary.isPresent() && !budget.tryRetry())) {
+      if (request.isExpired() || (attempts.mayHaveRun() && !budget.tryRetry())) {
         return new Message.Executed(attempts.outcome(), Optional.empty());
       }
       Pause.millis(RETRY_PAUSE);
