Count a member towards a majority only while it is in the term of the position

Cause: Confirmation counted each member whose last log entry was of the position's term. A replica that took old entries from the primary of a LATER term counted too, while a longer log of a term in between could still replace them. An acknowledged write could be lost. Ruled out: the choice among sealed members, the cover of positions, the barrier (each is replaced by a broken one in a test of its own, and those fail as they should). The loss check also runs at the end of each history now. Conclusion: members report their granted term and their log's last term; both must be the position's term.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/commit/Confirmation.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/commit/Confirmation.java
@@ -20,10 +20,11 @@
   /**
    * Judges a position.
    *
-   * <p>A member counts only if the last entry of its log is of the term of the position. Then its
-   * log is a prefix of the log of that term's primary, and the majority holds an entry of that
-   * term. Statuses from any time are evidence, because a sealed member takes no further entries of
-   * lower terms.
+   * <p>A member counts only if it is in the term of the position and the last entry of its log is
+   * of that term. Then it took its log from that term's primary before any later seal, so that each
+   * later majority of seals meets a member that holds the position. A member that took the same
+   * entries from the primary of a later term does not count: a longer log of a term in between may
+   * still replace them. Statuses from any time are evidence.
    *
    * @param position The position, with the term of the log that it was read from.
    * @param statuses The latest statuses of the members, at most one for each.
@@ -35,7 +36,8 @@
     int holding = 0;
     int passed = 0;
     for (MemberStatus status : statuses) {
-      if (status.logTerm() == position.term() && status.held() >= position.index()) {
+      boolean inTerm = status.term() == position.term() && status.logTerm() == position.term();
+      if (inTerm && status.held() >= position.index()) {
         holding++;
       }
       if (status.term() > position.term()) {
--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/history/RandomHistory.java
@@ -0,0 +1,279 @@
+package org.hickoryshed.decision.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import java.util.stream.IntStream;
+import org.hickoryshed.decision.failover.Promotion;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.decision.topology.MemberStatus;
+import org.hickoryshed.decision.topology.Role;
+
+/**
+ * A random history of one group: writes, replication, cut-off primaries, two candidates at once,
+ * observers with old statuses, and reads. A step that does not happen for long is a frozen or cut
+ * off process.
+ */
+final class RandomHistory {
+
+  private static final int CANDIDATES = 2;
+  private static final int OBSERVERS = 2;
+
+  private final Policy policy;
+  private final RandomGenerator random;
+  private final List<FakeMember> members =
+      IntStream.rangeClosed(1, Policy.MEMBERS)
+          .mapToObj(number -> new FakeMember("a-" + number))
+          .toList();
+  private final List<Map<String, MemberStatus>> observers = new ArrayList<>();
+  private final List<Attempt> attempts = new ArrayList<>();
+  private final List<Write> pending = new ArrayList<>();
+  private final List<Write> acknowledged = new ArrayList<>();
+  private final List<Barrier> barriers = new ArrayList<>();
+  private final List<String> steps = new ArrayList<>();
+  private int latestWrite;
+
+  RandomHistory(Policy policy, long seed) {
+    this.policy = policy;
+    random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    for (int number = 0; number < OBSERVERS; number++) {
+      observers.add(new HashMap<>());
+    }
+    for (int number = 0; number < CANDIDATES; number++) {
+      attempts.add(new Attempt(1 + number));
+    }
+  }
+
+  /** Runs steps and returns the first violation with the steps that led to it. */
+  Optional<String> run(int length) {
+    for (int step = 0; step < length; step++) {
+      Optional<String> violation = step();
+      if (violation.isPresent()) {
+        return Optional.of(violation.get() + " after " + steps);
+      }
+    }
+    return promoteInHealthyGroup().map(violation -> violation + " after " + steps);
+  }
+
+  /** Promotes a member while no process is frozen or cut off. */
+  private Optional<String> promoteInHealthyGroup() {
+    long highest = members.stream().mapToLong(member -> member.term).max().orElseThrow();
+    Attempt attempt = new Attempt(Promotion.nextTerm(highest));
+    for (FakeMember member : members) {
+      member.seal(attempt.term);
+      attempt.sealed.add(member.status());
+    }
+    return promote(attempt);
+  }
+
+  int acknowledgedWrites() {
+    return acknowledged.size();
+  }
+
+  private Optional<String> step() {
+    return switch (random.nextInt(20)) {
+      case 0, 1, 2 -> write();
+      case 3, 4, 5, 6, 7 -> pull();
+      case 8, 9 -> observe();
+      case 10, 11 -> acknowledge();
+      case 12, 13 -> candidate();
+      case 14 -> apply();
+      case 15 -> askBarrier();
+      case 16, 17 -> readBehindBarrier();
+      default -> readOfSession();
+    };
+  }
+
+  private Optional<String> write() {
+    FakeMember member = anyMember();
+    if (member.role == Role.PRIMARY) {
+      int write = ++latestWrite;
+      int index = member.append(write);
+      pending.add(new Write(write, new LogPosition(member.term, index)));
+      note("write " + write + " at " + member.name);
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> pull() {
+    FakeMember member = anyMember();
+    member.pull();
+    note("pull " + member.name + "=" + member.log.size());
+    return Optional.empty();
+  }
+
+  private Optional<String> apply() {
+    FakeMember member = anyMember();
+    member.applied += random.nextInt(member.log.size() - member.applied + 1);
+    note("apply " + member.name + "=" + member.applied);
+    return Optional.empty();
+  }
+
+  private Optional<String> observe() {
+    FakeMember member = anyMember();
+    int observer = random.nextInt(OBSERVERS);
+    observers.get(observer).put(member.name, member.status());
+    barriers.forEach(barrier -> barrier.fresh.put(member.name, member.status()));
+    note("observe " + member.name);
+    return Optional.empty();
+  }
+
+  private Optional<String> acknowledge() {
+    Map<String, MemberStatus> statuses = observers.get(random.nextInt(OBSERVERS));
+    List<Write> confirmed =
+        pending.stream()
+            .filter(write -> policy.confirms().test(write.position(), statuses.values()))
+            .toList();
+    pending.removeAll(confirmed);
+    acknowledged.addAll(confirmed);
+    confirmed.forEach(write -> note("acknowledge " + write.number()));
+    return Optional.empty();
+  }
+
+  private Optional<String> candidate() {
+    Attempt attempt = attempts.get(random.nextInt(CANDIDATES));
+    FakeMember member = anyMember();
+    if (attempt.promoted != null) {
+      member.follow(attempt.term, attempt.promoted);
+      note("follow " + member.name + " " + attempt.promoted.name);
+      if (random.nextInt(6) == 0) {
+        attempt.restart(Promotion.nextTerm(highestTermSeen()));
+      }
+      return Optional.empty();
+    }
+    if (random.nextInt(3) == 0) {
+      return promote(attempt);
+    }
+    if (member.seal(attempt.term)) {
+      attempt.sealed.add(member.status());
+      note("seal " + member.name + " in term " + attempt.term);
+    } else if (random.nextInt(4) == 0) {
+      attempt.restart(Promotion.nextTerm(highestTermSeen()));
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> promote(Attempt attempt) {
+    Optional<MemberStatus> chosen = policy.chooses().choose(attempt.sealed);
+    if (chosen.isEmpty()) {
+      return Optional.empty();
+    }
+    FakeMember successor =
+        members.stream()
+            .filter(member -> member.name.equals(chosen.get().member()))
+            .findFirst()
+            .orElseThrow();
+    if (!successor.promote(attempt.term)) {
+      attempt.restart(Promotion.nextTerm(highestTermSeen()));
+      return Optional.empty();
+    }
+    attempt.promoted = successor;
+    note("promote " + successor.name + " in term " + attempt.term);
+    // A candidate that was slow may promote in a term that a majority has left already. Such a
+    // primary gets nothing confirmed, so that it may lack writes of later terms.
+    return acknowledged.stream()
+        .filter(write -> write.position().term() < attempt.term)
+        .filter(write -> !successor.holds(write.number()))
+        .findFirst()
+        .map(write -> "lost acknowledged write " + write.number());
+  }
+
+  private Optional<String> askBarrier() {
+    if (barriers.size() < 4) {
+      barriers.add(new Barrier(new HashSet<>(acknowledged)));
+      note("ask barrier");
+    }
+    return Optional.empty();
+  }
+
+  private Optional<String> readBehindBarrier() {
+    if (barriers.isEmpty()) {
+      return Optional.empty();
+    }
+    Barrier barrier = barriers.get(random.nextInt(barriers.size()));
+    Map<String, MemberStatus> stale = observers.get(random.nextInt(OBSERVERS));
+    Optional<LogPosition> floor = policy.barrier().of(barrier.fresh.values(), stale.values());
+    if (floor.isEmpty()) {
+      return Optional.empty();
+    }
+    FakeMember member = anyMember();
+    if (!policy.covers().test(member.status(), floor.get())) {
+      return Optional.empty();
+    }
+    barriers.remove(barrier);
+    note("read at " + member.name + " behind " + floor.get());
+    return barrier.before.stream()
+        .filter(write -> !member.hasApplied(write.number()))
+        .findFirst()
+        .map(write -> "stale read without session misses write " + write.number());
+  }
+
+  private Optional<String> readOfSession() {
+    if (acknowledged.isEmpty()) {
+      return Optional.empty();
+    }
+    Write write = acknowledged.get(random.nextInt(acknowledged.size()));
+    FakeMember member = anyMember();
+    if (policy.covers().test(member.status(), write.position())
+        && !member.hasApplied(write.number())) {
+      note("read at " + member.name);
+      return Optional.of("stale read of session misses write " + write.number());
+    }
+    return Optional.empty();
+  }
+
+  private FakeMember anyMember() {
+    return members.get(random.nextInt(members.size()));
+  }
+
+  private long highestTermSeen() {
+    return anyMember().term;
+  }
+
+  private void note(String step) {
+    steps.add(step);
+  }
+
+  /**
+   * A write.
+   *
+   * @param number The number of the write.
+   * @param position The position that the primary reported.
+   */
+  private record Write(int number, LogPosition position) {}
+
+  /** An attempt of a candidate. */
+  private static final class Attempt {
+
+    private final List<MemberStatus> sealed = new ArrayList<>();
+    private long term;
+    private FakeMember promoted;
+
+    private Attempt(long term) {
+      this.term = term;
+    }
+
+    private void restart(long newTerm) {
+      term = newTerm;
+      sealed.clear();
+      promoted = null;
+    }
+  }
+
+  /** A read without a session that waits for its barrier. */
+  private static final class Barrier {
+
+    private final Map<String, MemberStatus> fresh = new HashMap<>();
+    private final Set<Write> before;
+
+    private Barrier(Set<Write> before) {
+      this.before = before;
+    }
+  }
+}
