--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/pool/MemberSchedulerTest.java
@@ -0,0 +1,156 @@
+package org.hickoryshed.decision.pool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hickoryshed.decision.configuration.Pool;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link MemberScheduler}. */
+class MemberSchedulerTest {
+
+  private static final int SLOTS = 2;
+  private static final long COST = 10;
+  private static final long LONG_COST = 1_000;
+  private static final long PATIENCE = 100_000;
+  private static final String SHORT = "order";
+  private static final String LONG = "report";
+
+  private final List<Command> commands = new ArrayList<>();
+  private long now = 1;
+  private long latest;
+
+  @Test
+  void keepsSlotFreeOfLongWork() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+
+    arrive(scheduler, LONG, Work.Kind.READ, PATIENCE);
+    arrive(scheduler, LONG, Work.Kind.READ, PATIENCE);
+
+    assertThat(started()).hasSize(1);
+  }
+
+  @Test
+  void fillsSlotsWithLongWorkUnderFifo() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.FIFO);
+
+    arrive(scheduler, LONG, Work.Kind.READ, PATIENCE);
+    arrive(scheduler, LONG, Work.Kind.READ, PATIENCE);
+
+    assertThat(started()).hasSize(SLOTS);
+  }
+
+  @Test
+  void refusesWorkThatCannotFinish() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+    for (int number = 0; number < 20; number++) {
+      arrive(scheduler, SHORT, Work.Kind.READ, PATIENCE);
+    }
+
+    commands.clear();
+    arrive(scheduler, SHORT, Work.Kind.READ, COST * 2);
+
+    assertThat(commands)
+        .singleElement()
+        .isInstanceOfSatisfying(
+            Command.Refuse.class,
+            refuse -> assertThat(refuse.refusal()).isInstanceOf(Refusal.Overloaded.class));
+  }
+
+  @Test
+  void runsWritesBeforeReads() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+    Work first = arrive(scheduler, SHORT, Work.Kind.READ, PATIENCE);
+    arrive(scheduler, SHORT, Work.Kind.READ, PATIENCE);
+    arrive(scheduler, SHORT, Work.Kind.READ, PATIENCE);
+    Work write = arrive(scheduler, SHORT, Work.Kind.WRITE, PATIENCE);
+
+    commands.clear();
+    commands.addAll(scheduler.finished(first.id(), WorkEnd.ANSWERED, now));
+
+    assertThat(started()).containsExactly(write.id());
+  }
+
+  @Test
+  void refusesStatementOfUnknownTransaction() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+
+    Work work = new Work(99, SHORT, Work.Kind.STEP, 7, 1, now, now + PATIENCE);
+
+    assertThat(scheduler.arrived(work))
+        .containsExactly(new Command.Refuse(work, new Refusal.NoTransaction()));
+  }
+
+  @Test
+  void refusesWaitingWorkIfMemberAcceptsNoConnection() {
+    MemberScheduler scheduler = scheduler(Pool.Scheduling.SHORT_FIRST);
+    Work work = arrive(scheduler, SHORT, Work.Kind.WRITE, PATIENCE);
+    List<Long> opening = opening();
+
+    commands.clear();
+    opening.forEach(connection -> commands.addAll(scheduler.connectFailed(connection, now)));
+
+    assertThat(commands).contains(new Command.Refuse(work, new Refusal.NoConnection()));
+  }
+
+  @Test
+  void givesIdleConnectionsUpWhileRetiring() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+
+    scheduler.retiring(true);
+    scheduler.elapsed(now);
+
+    assertThat(scheduler.connections()).isZero();
+  }
+
+  @Test
+  void closesIdleTransactionWithItsConnection() {
+    MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
+    Work begin = new Work(50, SHORT, Work.Kind.BEGIN, 5, 1, now, now + PATIENCE);
+    long connection = ((Command.Run) scheduler.arrived(begin).getFirst()).connection();
+    scheduler.finished(begin.id(), WorkEnd.ANSWERED, now);
+
+    now += PATIENCE;
+
+    assertThat(scheduler.elapsed(now)).contains(new Command.Close(connection));
+  }
+
+  /** Returns a scheduler with open connections that has learnt the costs of both labels. */
+  private MemberScheduler warm(Pool.Scheduling scheduling) {
+    MemberScheduler scheduler = scheduler(scheduling);
+    arrive(scheduler, SHORT, Work.Kind.READ, PATIENCE);
+    opening().forEach(connection -> scheduler.connected(connection, now));
+    now += COST;
+    scheduler.finished(latest, WorkEnd.ANSWERED, now);
+    arrive(scheduler, LONG, Work.Kind.READ, PATIENCE);
+    now += LONG_COST;
+    scheduler.finished(latest, WorkEnd.ANSWERED, now);
+    commands.clear();
+    return scheduler;
+  }
+
+  private static MemberScheduler scheduler(Pool.Scheduling scheduling) {
+    return new MemberScheduler(new PoolLimits(16, SLOTS, scheduling, 50, 100, PATIENCE / 2));
+  }
+
+  private Work arrive(MemberScheduler scheduler, String label, Work.Kind kind, long patience) {
+    Work work = new Work(++latest, label, kind, 0, 1, now, now + patience);
+    commands.addAll(scheduler.arrived(work));
+    return work;
+  }
+
+  private List<Long> opening() {
+    return commands.stream()
+        .filter(Command.Connect.class::isInstance)
+        .map(command -> ((Command.Connect) command).connection())
+        .toList();
+  }
+
+  private List<Long> started() {
+    return commands.stream()
+        .filter(Command.Run.class::isInstance)
+        .map(command -> ((Command.Run) command).work().id())
+        .toList();
+  }
+}
--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/scenario/FailoverSteps.java
@@ -0,0 +1,128 @@
+package org.hickoryshed.decision.scenario;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.hickoryshed.decision.failover.Suspicion;
+import org.hickoryshed.decision.failover.SuspicionLimits;
+import org.hickoryshed.decision.topology.MemberStatus;
+import org.hickoryshed.decision.topology.Role;
+
+/** The steps of scenarios about failover. */
+public final class FailoverSteps {
+
+  private static final SuspicionLimits LIMITS = new SuspicionLimits(500, 150, 2_000, 150);
+  private static final int MEMBERS = 3;
+  private static final int PROBE_INTERVAL = 50;
+  private static final String PRIMARY = "a-1";
+
+  private final Set<String> silent = new HashSet<>();
+  private final Set<String> refusing = new HashSet<>();
+  private final Set<String> unreachable = new HashSet<>();
+  private Suspicion suspicion = new Suspicion(LIMITS, MEMBERS, 0);
+  private int rank;
+  private int domains = MEMBERS;
+  private long primaryHeld = 10;
+  private long now;
+  private boolean replicating = true;
+
+  @Given("a candidate of rank {int} in {int} failure domains")
+  public void candidate(int newRank, int newDomains) {
+    rank = newRank;
+    domains = newDomains;
+    suspicion = new Suspicion(LIMITS, MEMBERS, now);
+  }
+
+  @Given("a database with primary a-1 in term {int}")
+  public void database(int term) {
+    probe(term);
+  }
+
+  @When("{word} is frozen or cut off from the candidate")
+  public void silence(String member) {
+    silent.add(member);
+  }
+
+  @When("{word} answers again")
+  public void answers(String member) {
+    silent.remove(member);
+    refusing.remove(member);
+  }
+
+  @When("the process of {word} is killed")
+  public void kill(String member) {
+    refusing.add(member);
+  }
+
+  @When("the primary is cut off from its replicas while it takes writes")
+  public void cutReplication() {
+    replicating = false;
+  }
+
+  @When("{int} ms pass in term {int}")
+  public void pass(int millis, int term) {
+    for (int elapsed = 0; elapsed < millis; elapsed += PROBE_INTERVAL) {
+      now += PROBE_INTERVAL;
+      probe(term);
+    }
+  }
+
+  @When("failure domain {word} does not reach the primary")
+  public void witness(String domain) {
+    unreachable.add(domain);
+  }
+
+  @Then("the candidate trusts the primary")
+  public void trusts() {
+    assertThat(suspicion.judge(rank, now)).isEqualTo(Suspicion.Verdict.TRUST);
+  }
+
+  @Then("the candidate asks the witnesses")
+  public void asks() {
+    assertThat(suspicion.judge(rank, now)).isEqualTo(Suspicion.Verdict.ASK_WITNESSES);
+  }
+
+  @Then("the candidate promotes without asking")
+  public void promotes() {
+    assertThat(suspicion.judge(rank, now)).isEqualTo(Suspicion.Verdict.PROMOTE);
+  }
+
+  @Then("the witnesses confirm the suspicion")
+  public void confirmed() {
+    assertThat(Suspicion.isConfirmed(unreachable, domains)).isTrue();
+  }
+
+  @Then("the witnesses do not confirm the suspicion")
+  public void notConfirmed() {
+    assertThat(Suspicion.isConfirmed(unreachable, domains)).isFalse();
+  }
+
+  private void probe(int term) {
+    primaryHeld++;
+    for (String member : Set.of(PRIMARY, "a-2", "a-3")) {
+      if (refusing.contains(member)) {
+        suspicion.refused(member, now);
+      } else if (!silent.contains(member)) {
+        suspicion.answered(status(member, term), now);
+      }
+    }
+  }
+
+  private MemberStatus status(String member, int term) {
+    boolean isPrimary = member.equals(PRIMARY);
+    long held = isPrimary || replicating ? primaryHeld : 10;
+    return new MemberStatus(
+        member,
+        isPrimary ? Role.PRIMARY : Role.REPLICA,
+        term,
+        term,
+        held,
+        held,
+        Optional.of(PRIMARY));
+  }
+}
