--- /dev/null
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ProcessTest.java
@@ -0,0 +1,140 @@
+package org.hickoryshed.dist;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.hickoryshed.decision.configuration.Configuration;
+import org.hickoryshed.load.caller.Caller;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests of the real binaries under kills, freezes and outages. No verdict is by timing. */
+class ProcessTest {
+
+  private static final int SOME = 30;
+
+  @TempDir Path directory;
+  private Cluster cluster;
+  private Callers callers;
+
+  @BeforeEach
+  void start() {
+    cluster = new Cluster(directory);
+    callers = new Callers(cluster);
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+  }
+
+  @Test
+  void holdsWhileProcessesAreFrozenAndKilled() throws InterruptedException {
+    callers.start();
+    callers.awaitWrites(SOME);
+
+    // The primary wakes up unaware of its replacement.
+    int frozen = cluster.primary().orElseThrow();
+    cluster.signal("a-" + frozen, "STOP");
+    cluster.await(
+        "another primary", () -> cluster.primary().filter(domain -> domain != frozen).isPresent());
+    callers.awaitWrites(SOME);
+    cluster.signal("a-" + frozen, "CONT");
+    callers.awaitWrites(SOME);
+
+    // A proxy is frozen while it holds unacknowledged commits, then another one is killed.
+    cluster.signal("entry-1", "STOP");
+    callers.awaitWrites(SOME);
+    cluster.signal("entry-1", "CONT");
+    cluster.signal("entry-2", "KILL");
+    callers.awaitWrites(SOME);
+    cluster.startProxy(2);
+
+    // A primary is killed for good.
+    cluster.signal("a-" + cluster.primary().orElseThrow(), "KILL");
+    callers.awaitWrites(SOME);
+    callers.stop();
+
+    assertThat(callers.check()).isEmpty();
+  }
+
+  @Test
+  void servesWithConfigurationOfPeerWhileStoreIsDown() {
+    cluster.signal("platform", "STOP");
+    cluster.signal("entry-3", "KILL");
+    cluster.await("the end of the proxy", () -> cluster.hasExited("entry-3"));
+
+    cluster.startProxy(3);
+
+    cluster.await("the proxy is ready", () -> cluster.isReady(3));
+    Caller caller = new Caller(cluster.http());
+    Caller.Request write = Caller.Request.of("append", "o", "v").withKey("k");
+    cluster.await("a write", () -> send(caller, 3, write).isDone());
+  }
+
+  @Test
+  void resolvesEditWhoseAnswerWasLost() {
+    Configuration next =
+        Cluster.configuration()
+            .edit("second", Cluster.configuration().routes(), Cluster.configuration().pools());
+    cluster.storeFaults(Map.of("dropAnswers", 1));
+
+    assertThat(cluster.write(next)).as("the answer is lost").isFalse();
+
+    cluster.await(
+        "the edit is in force",
+        () -> Cluster.DOMAINS.stream().allMatch(domain -> cluster.revision(domain) == 2));
+    assertThat(cluster.write(next)).as("a second edit of the same revision").isFalse();
+  }
+
+  @Test
+  void cutsOffNoRequestInGracefulShutdown() throws InterruptedException {
+    callers.start();
+    callers.awaitWrites(SOME);
+
+    cluster.signal("entry-1", "TERM");
+    cluster.await("the end of the proxy", () -> cluster.hasExited("entry-1"));
+    callers.awaitWrites(SOME);
+    callers.stop();
+
+    assertThat(callers.count("unknown")).isZero();
+    assertThat(callers.check()).isEmpty();
+  }
+
+  @Test
+  void rollsTransactionOfKilledProxyBack() {
+    Caller caller = new Caller(cluster.http());
+    Caller.Request begin = Caller.Request.of("begin", "t", "");
+    cluster.await("a write", () -> send(caller, 1, Caller.Request.of("append", "w", "1")).isDone());
+    Caller.Answer begun = caller.send(cluster.proxy(1), Cluster.ORDERS + "/transactions", begin);
+    String path = Cluster.ORDERS + "/transactions/" + begun.transaction();
+    assertThat(
+            caller
+                .send(
+                    cluster.proxy(2),
+                    path + "/statements",
+                    Caller.Request.of("append", "t", "half"))
+                .isDone())
+        .isTrue();
+
+    String pooler = begun.transaction().substring(0, begun.transaction().indexOf('~'));
+    cluster.signal(pooler, "KILL");
+    int other = pooler.equals("entry-1") ? 2 : 1;
+    Caller.Answer commit =
+        caller.send(cluster.proxy(other), path + "/commit", Caller.Request.of("c", "t", ""));
+
+    assertThat(commit.outcome()).isNotEqualTo("done");
+    Caller.Answer read =
+        new Caller(cluster.http())
+            .send(cluster.proxy(other), Cluster.STOCK, Caller.Request.of("get", "t", ""));
+    assertThat(read.values()).isEqualTo(List.of());
+  }
+
+  private Caller.Answer send(Caller caller, int domain, Caller.Request request) {
+    return caller.send(cluster.proxy(domain), Cluster.ORDERS + "/statements", request);
+  }
+}
--- /dev/null
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the real binaries as processes, and of the architecture. */
+package org.hickoryshed.dist;
--- /dev/null
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/history/package-info.java
@@ -0,0 +1,2 @@
+/** The check of recorded histories. */
+package org.hickoryshed.load.history;
--- /dev/null
+++ b/hickoryshed-load/src/test/java/org/hickoryshed/load/history/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the check of recorded histories. */
+package org.hickoryshed.load.history;
