Give a frozen peer up by heartbeats instead of by each request's time-out

Cause: a proxy that was frozen (SIGSTOP) held each request forwarded to it until that request's own time-out, and was tried again 500 ms later. In ProcessTest 30 writes took more than 90 s: FAILED 'still waiting for 30 more writes'. Ruled out: the failover process (its time line shows each promotion at once), the pooler. Change: a connection sends heartbeats while a request waits and closes after 1.2 s of silence; a VM that did not answer is passed over for 5 s. Tests: PeersTest.givesUpPeerThatIsSilent, keepsPeerThatIsSlowButAlive.

--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/caller/Caller.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/caller/Caller.java
@@ -18,12 +18,15 @@
   /** The header that carries the session token. */
   private static final String SESSION = "Hickoryshed-Session";
 
-  /** The longest time to wait for an answer. */
+  /** The default longest time to wait for an answer. */
   private static final Duration TIMEOUT = Duration.ofSeconds(15);
 
   /** The underlying caller. */
   private final HttpCaller http;
 
+  /** The longest time to wait for an answer. */
+  private final Duration timeout;
+
   /** The latest session token. */
   private volatile Optional<String> token = Optional.empty();
 
@@ -33,7 +36,18 @@
    * @param http The underlying caller.
    */
   public Caller(HttpCaller http) {
+    this(http, TIMEOUT);
+  }
+
+  /**
+   * Creates a new caller.
+   *
+   * @param http The underlying caller.
+   * @param timeout The longest time to wait for an answer.
+   */
+  public Caller(HttpCaller http, Duration timeout) {
     this.http = http;
+    this.timeout = timeout;
   }
 
   /**
@@ -62,7 +76,7 @@
         .maxStaleSeconds()
         .ifPresent(age -> headers.addAll(List.of("Cache-Control", "max-stale=" + age)));
     Result<Reply, CallFailure> result =
-        http.call("POST", proxy, path, request.body(), TIMEOUT, headers.toArray(String[]::new));
+        http.call("POST", proxy, path, request.body(), timeout, headers.toArray(String[]::new));
     return switch (result) {
       case Result.Failed<Reply, CallFailure>(CallFailure.NotSent(String detail)) ->
           new Answer("not-run", detail, Optional.empty());
--- a/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/message/Message.java
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/message/Message.java
@@ -25,6 +25,7 @@
   @JsonSubTypes.Type(value = Message.Documents.class, name = "documents"),
   @JsonSubTypes.Type(value = Message.AskWitness.class, name = "ask-witness"),
   @JsonSubTypes.Type(value = Message.Witness.class, name = "witness"),
+  @JsonSubTypes.Type(value = Message.Heartbeat.class, name = "heartbeat"),
   @JsonSubTypes.Type(value = Message.Unsupported.class, name = "unsupported")
 })
 public sealed interface Message {
@@ -143,6 +144,9 @@
    */
   record Witness(String domain, boolean reaches) implements Message {}
 
+  /** Asks a peer whether it runs, and answers that it does. */
+  record Heartbeat() implements Message {}
+
   /**
    * Answers that a message is not supported by the process that was asked.
    *
--- a/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/PeerConnection.java
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/PeerConnection.java
@@ -34,6 +34,12 @@
   /** The number of requests of the peer that are handled at once. */
   private static final int CONCURRENT_REQUESTS = 1024;
 
+  /** The time between two heartbeats while a request waits. */
+  private static final Duration HEARTBEAT = Duration.ofMillis(250);
+
+  /** The time in nanoseconds after which a peer that sends nothing is given up. */
+  private static final long SILENCE_LIMIT = Duration.ofMillis(1200).toNanos();
+
   /** The size of the buffers in bytes. */
   private static final int BUFFER_SIZE = 16 * 1024;
 
@@ -64,6 +70,9 @@
   /** True while the connection is usable. */
   private volatile boolean open = true;
 
+  /** The time in nanoseconds at which the peer was last heard or had nothing to answer. */
+  private volatile long heardAt = System.nanoTime();
+
   /**
    * Creates a new connection.
    *
@@ -84,6 +93,7 @@
   void start() {
     Thread.ofVirtual().name("peer-reader").start(this::readFrames);
     Thread.ofVirtual().name("peer-writer").start(this::writeFrames);
+    Thread.ofVirtual().name("peer-heartbeat").start(this::watchPeer);
   }
 
   /**
@@ -173,12 +183,33 @@
     }
   }
 
+  /** Gives a peer up that is silent while a request waits, because it is frozen or cut off. */
+  private void watchPeer() {
+    try {
+      while (open) {
+        Thread.sleep(HEARTBEAT);
+        if (pending.isEmpty()) {
+          heardAt = System.nanoTime();
+        } else if (System.nanoTime() - heardAt > SILENCE_LIMIT) {
+          metrics.counter("peers_given_up", "cause", "silence").inc();
+          close(new IOException("the peer is silent"));
+        } else {
+          offer(
+              new Frame(latest.incrementAndGet(), false, recorder.tick(), new Message.Heartbeat()));
+        }
+      }
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Reads frames until the connection closes. */
   private void readFrames() {
     try (DataInputStream input =
         new DataInputStream(new BufferedInputStream(socket.getInputStream(), BUFFER_SIZE))) {
       while (open) {
         Frame frame = FrameCodec.read(input);
+        heardAt = System.nanoTime();
         recorder.observe(frame.time());
         if (frame.reply()) {
           complete(frame);
@@ -202,9 +233,10 @@
    */
   private void complete(Frame frame) {
     CompletableFuture<Message> reply = pending.remove(frame.id());
-    if (reply == null) {
+    if (reply == null && !(frame.message() instanceof Message.Heartbeat)) {
       metrics.counter("late_replies", "link", "peer").inc();
-    } else {
+    }
+    if (reply != null) {
       reply.complete(frame.message());
     }
   }
@@ -216,7 +248,10 @@
    */
   private void handle(Frame frame) {
     try {
-      Message reply = handler.apply(frame.message());
+      Message reply =
+          frame.message() instanceof Message.Heartbeat heartbeat
+              ? heartbeat
+              : handler.apply(frame.message());
       byte[] content = FrameCodec.encode(new Frame(frame.id(), true, recorder.tick(), reply));
       outgoing.put(content);
     } catch (IOException | RuntimeException exception) {
--- /dev/null
+++ b/hickoryshed-protocol/src/test/java/org/hickoryshed/protocol/peer/PeersTest.java
@@ -0,0 +1,135 @@
+package org.hickoryshed.protocol.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.kernel.event.EventRecorder;
+import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.kernel.result.Result;
+import org.hickoryshed.protocol.message.Message;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link Peers}. */
+class PeersTest {
+
+  private static final String SERVER_ADDRESS = "127.0.21.1";
+  private static final int PORT = 7301;
+  private static final String SERVER = SERVER_ADDRESS + ":" + PORT;
+  private static final Duration LONG = Duration.ofSeconds(60);
+  private static final Duration SHORT = Duration.ofMillis(50);
+  private static final Message FAST = new Message.AskBarrier("fast", 1);
+  private static final Message SLOW = new Message.AskBarrier("slow", 1);
+
+  private final CountDownLatch slow = new CountDownLatch(1);
+  private final Peers server = peers(SERVER_ADDRESS, PORT);
+  private final Peers client = peers("127.0.21.2", PORT);
+
+  @BeforeEach
+  void start() {
+    server.start();
+    client.start();
+  }
+
+  @AfterEach
+  void stop() {
+    slow.countDown();
+    client.stop();
+    server.stop();
+  }
+
+  @Test
+  void returnsReplyToItsOwnRequestWhileAnotherIsSlow() throws InterruptedException {
+    Thread waiting = Thread.ofVirtual().start(() -> client.call(SERVER, SLOW, LONG));
+
+    assertThat(client.call(SERVER, FAST, LONG)).isEqualTo(Result.success(barrier(4)));
+
+    slow.countDown();
+    waiting.join();
+  }
+
+  @Test
+  void dropsReplyToAbandonedRequest() {
+    assertThat(client.call(SERVER, SLOW, SHORT))
+        .isInstanceOfSatisfying(
+            Result.Failed.class,
+            failed -> assertThat(failed.failure()).isInstanceOf(PeerFailure.NoAnswer.class));
+    slow.countDown();
+
+    assertThat(client.call(SERVER, FAST, LONG)).isEqualTo(Result.success(barrier(4)));
+  }
+
+  @Test
+  void tellsThatRequestWasNotSent() {
+    Result<Message, PeerFailure> result = client.call("127.0.21.9:7301", FAST, LONG);
+
+    assertThat(result)
+        .isInstanceOfSatisfying(
+            Result.Failed.class,
+            failed -> assertThat(failed.failure()).isInstanceOf(PeerFailure.NotSent.class));
+  }
+
+  @Test
+  void givesUpPeerThatIsSilent() throws IOException {
+    try (ServerSocket frozen = new ServerSocket(0, 5, InetAddress.getByName("127.0.21.3"))) {
+      String address = "127.0.21.3:" + frozen.getLocalPort();
+
+      Result<Message, PeerFailure> result = client.call(address, FAST, LONG);
+
+      assertThat(result)
+          .isEqualTo(
+              Result.failure(new PeerFailure.NoAnswer("java.io.IOException: the peer is silent")));
+    }
+  }
+
+  @Test
+  void keepsPeerThatIsSlowButAlive() throws InterruptedException {
+    Thread release =
+        Thread.ofVirtual()
+            .start(
+                () -> {
+                  pause();
+                  slow.countDown();
+                });
+
+    assertThat(client.call(SERVER, SLOW, LONG)).isEqualTo(Result.success(barrier(4)));
+    release.join();
+  }
+
+  private static void pause() {
+    try {
+      new CountDownLatch(1).await(2, java.util.concurrent.TimeUnit.SECONDS);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Message answer(Message message) {
+    if (message.equals(SLOW)) {
+      try {
+        slow.await();
+      } catch (InterruptedException exception) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    return barrier(message instanceof Message.AskBarrier ask ? ask.database().length() : 0);
+  }
+
+  private static Message barrier(long index) {
+    return new Message.Barrier(Optional.of(new LogPosition(1, index)));
+  }
+
+  private Peers peers(String address, int port) {
+    EventRecorder recorder = new EventRecorder(address, "run", InstantSource.system());
+    return new Peers(new InetSocketAddress(address, port), this::answer, recorder, new Metrics());
+  }
+}
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
@@ -23,8 +23,11 @@
 /** Forwards requests to the pooler of a member, which may be in this process. */
 final class Forwarder {
 
-  /** The time in milliseconds for which an unreachable VM is passed over. */
-  private static final long UNREACHABLE_FOR = 500;
+  /** The time in milliseconds for which a VM that refused a request is passed over. */
+  private static final long REFUSED_FOR = 500;
+
+  /** The time in milliseconds for which a VM that did not answer is passed over. */
+  private static final long SILENT_FOR = 5_000;
 
   /** The time for which a reply may be later than the deadline of its request. */
   private static final Duration REPLY_MARGIN = Duration.ofMillis(400);
@@ -129,7 +132,7 @@
       if (reply instanceof Result.Success<Message, PeerFailure>(Message message)) {
         return Optional.of(message);
       }
-      passOver(vm);
+      passOver(vm, SILENT_FOR);
     }
     return switch (question) {
       case Message.AskBarrier barrier -> Optional.of(poolers.barrier(barrier));
@@ -150,18 +153,18 @@
       case Result.Success<Message, PeerFailure>(Message.Executed executed)
           when executed.outcome() instanceof Outcome.NotRun notRun
               && notRun.reason() == Reason.NOT_SERVED -> {
-        passOver(vm);
+        passOver(vm, REFUSED_FOR);
         yield Optional.empty();
       }
       case Result.Success<Message, PeerFailure>(Message.Executed executed) -> Optional.of(executed);
       case Result.Success<Message, PeerFailure>(Message other) ->
           Optional.of(unknown("unexpected reply " + other.getClass().getSimpleName()));
       case Result.Failed<Message, PeerFailure>(PeerFailure.NotSent ignored) -> {
-        passOver(vm);
+        passOver(vm, REFUSED_FOR);
         yield Optional.empty();
       }
       case Result.Failed<Message, PeerFailure>(PeerFailure.NoAnswer(String detail)) -> {
-        passOver(vm);
+        passOver(vm, SILENT_FOR);
         yield Optional.of(unknown(detail));
       }
     };
@@ -171,10 +174,11 @@
    * Passes a VM over for a while.
    *
    * @param vm The VM.
+   * @param millis The time in milliseconds.
    */
-  private void passOver(Vm vm) {
+  private void passOver(Vm vm, long millis) {
     metrics.counter("poolers_passed_over", "vm", vm.name()).inc();
-    unreachableUntil.put(vm.name(), System.currentTimeMillis() + UNREACHABLE_FOR);
+    unreachableUntil.put(vm.name(), System.currentTimeMillis() + millis);
   }
 
   /**
