Add experiments to the load tool and measure replica reads and head-of-line blocking

Change: open-loop streams from TOML files, latencies from the intended start (HdrHistogram), variants applied as an operator's edit, several side by side in a run.

--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
@@ -41,7 +41,7 @@
    */
   public <T> Result<Optional<Versioned<T>>, CallFailure> read(
       String name, Class<T> type, Duration timeout) {
-    return read(caller.call("GET", address, path(name), null, timeout), type);
+    return toObject(caller.call("GET", address, path(name), null, timeout), type);
   }
 
   /**
@@ -57,7 +57,7 @@
   public <T> Result<Optional<Versioned<T>>, CallFailure> watch(
       String name, long version, Duration wait, Class<T> type) {
     String path = path(name) + "?known=" + version + "&wait=" + wait.toMillis();
-    return read(caller.call("GET", address, path, null, wait.plus(WATCH_MARGIN)), type);
+    return toObject(caller.call("GET", address, path, null, wait.plus(WATCH_MARGIN)), type);
   }
 
   /**
@@ -92,7 +92,7 @@
    * @param <T> The type of the value.
    * @return The object, an empty optional if there is none, or the failure.
    */
-  private static <T> Result<Optional<Versioned<T>>, CallFailure> read(
+  private static <T> Result<Optional<Versioned<T>>, CallFailure> toObject(
       Result<Reply, CallFailure> reply, Class<T> type) {
     return switch (reply) {
       case Result.Failed<Reply, CallFailure>(CallFailure failure) -> Result.failure(failure);
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/LoadMain.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/LoadMain.java
@@ -1,11 +1,21 @@
 package org.hickoryshed.load;
 
+import java.io.IOException;
 import java.net.InetAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.hickoryshed.client.http.HttpCaller;
 import org.hickoryshed.kernel.command.Daemon;
+import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.kernel.settings.SettingsReader;
 import org.hickoryshed.load.demonstration.Demonstration;
+import org.hickoryshed.load.experiment.ExperimentRunner;
+import org.hickoryshed.load.experiment.StreamResult;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -33,9 +43,17 @@
   private boolean help;
 
   /** The command. */
-  @Argument(index = 0, metaVar = "COMMAND", usage = "demonstrate")
+  @Argument(index = 0, metaVar = "COMMAND", usage = "demonstrate or run")
   private String command = "";
 
+  /** The experiment files. */
+  @Argument(index = 1, metaVar = "FILE", usage = "the TOML file of an experiment; repeatable")
+  private List<String> files = new ArrayList<>();
+
+  /** The file to write the figures to. */
+  @Option(name = "--json", metaVar = "FILE", usage = "the file to write the figures to as JSON")
+  private String json = "";
+
   /** This class is instantiated by its main method only. */
   private LoadMain() {}
 
@@ -53,12 +71,62 @@
       System.err.println(NAME + ": " + exception.getMessage());
       System.exit(Daemon.EXIT_USAGE);
     }
-    if (main.help || !main.command.equals("demonstrate") || main.proxies.size() != PROXIES) {
-      System.out.println("usage: " + NAME + " demonstrate --store IP:PORT --proxy IP:PORT (x3)");
+    if (main.help || main.command.isEmpty()) {
+      System.out.println(
+          "usage: " + NAME + " demonstrate|run --store IP:PORT --proxy IP:PORT... [FILE...]");
       parser.printUsage(System.out);
       System.exit(main.help ? 0 : Daemon.EXIT_USAGE);
     }
+    System.exit(main.run());
+  }
+
+  /**
+   * Runs the command.
+   *
+   * @return The exit code.
+   */
+  private int run() {
     HttpCaller http = new HttpCaller(InetAddress.getLoopbackAddress());
-    System.exit(new Demonstration(http, main.proxies, main.store).run() == 0 ? 0 : 1);
+    return switch (command) {
+      case "demonstrate" -> {
+        if (proxies.size() != PROXIES) {
+          System.err.println(NAME + ": the demonstration needs " + PROXIES + " proxies");
+          yield Daemon.EXIT_USAGE;
+        }
+        yield new Demonstration(http, proxies, store).run() == 0 ? 0 : 1;
+      }
+      case "run" -> runExperiments(new ExperimentRunner(http, proxies, store));
+      default -> {
+        System.err.println(NAME + ": no command " + command + "; see --help");
+        yield Daemon.EXIT_USAGE;
+      }
+    };
+  }
+
+  /**
+   * Runs the experiments.
+   *
+   * @param runner The runner.
+   * @return The exit code.
+   */
+  private int runExperiments(ExperimentRunner runner) {
+    Map<String, Object> results = new LinkedHashMap<>();
+    for (String file : files) {
+      Optional<Map<String, Map<String, StreamResult.Figures>>> result =
+          runner.run(SettingsReader.of(Path.of(file)));
+      if (result.isEmpty()) {
+        return Daemon.EXIT_USAGE;
+      }
+      results.put(file, result.get());
+    }
+    if (!json.isEmpty()) {
+      try {
+        Files.write(Path.of(json), Json.write(results));
+      } catch (IOException exception) {
+        System.err.println(NAME + ": " + exception);
+        return 1;
+      }
+    }
+    return 0;
   }
 }
--- a/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/Peers.java
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/Peers.java
@@ -149,7 +149,7 @@
       socket.close();
       throw exception;
     }
-    return start(socket);
+    return startConnection(socket);
   }
 
   /** Accepts connections until the socket closes. */
@@ -159,7 +159,7 @@
         Socket socket = server.accept();
         socket.setTcpNoDelay(true);
         accepted.removeIf(connection -> !connection.isOpen());
-        accepted.add(start(socket));
+        accepted.add(startConnection(socket));
       } catch (IOException exception) {
         metrics.counter("peer_accept_failures", "cause", "accept").inc();
       }
@@ -172,7 +172,7 @@
    * @param socket The connected socket.
    * @return The connection.
    */
-  private PeerConnection start(Socket socket) {
+  private PeerConnection startConnection(Socket socket) {
     PeerConnection connection = new PeerConnection(socket, handler, recorder, metrics);
     connection.start();
     return connection;
