--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/route/MemberChoice.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/route/MemberChoice.java
@@ -18,22 +18,24 @@
   /**
    * Orders the members that may serve a read.
    *
+   * <p>A leaving replica gets no new work. A leaving primary serves until its role is handed over.
+   *
    * @param database The database.
    * @param view What is known of the members.
-   * @param unavailable The names of members that are leaving or were just unreachable.
+   * @param leaving The names of members that are leaving.
    * @param primaryOnly {@code true} if only the primary serves the read.
    * @return The members to try: replicas from near to far, then the primary.
    */
   public List<Member> forRead(
-      Database database, DatabaseView view, Set<String> unavailable, boolean primaryOnly) {
+      Database database, DatabaseView view, Set<String> leaving, boolean primaryOnly) {
     String primary = view.primaryName().orElse("");
     Comparator<Member> order =
-        Comparator.comparing((Member member) -> unavailable.contains(member.name()))
-            .thenComparing(member -> member.name().equals(primary))
+        Comparator.comparing((Member member) -> member.name().equals(primary))
             .thenComparingInt(this::distance)
             .thenComparing(Member::name);
     return database.members().stream()
         .filter(member -> !primaryOnly || member.name().equals(primary))
+        .filter(member -> !leaving.contains(member.name()) || member.name().equals(primary))
         .sorted(order)
         .toList();
   }
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/LoadMain.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/LoadMain.java
@@ -16,6 +16,7 @@
 import org.hickoryshed.load.demonstration.Demonstration;
 import org.hickoryshed.load.experiment.ExperimentRunner;
 import org.hickoryshed.load.experiment.StreamResult;
+import org.hickoryshed.load.slope.Slopes;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -43,7 +44,7 @@
   private boolean help;
 
   /** The command. */
-  @Argument(index = 0, metaVar = "COMMAND", usage = "demonstrate or run")
+  @Argument(index = 0, metaVar = "COMMAND", usage = "demonstrate, run or slopes")
   private String command = "";
 
   /** The experiment files. */
@@ -73,7 +74,9 @@
     }
     if (main.help || main.command.isEmpty()) {
       System.out.println(
-          "usage: " + NAME + " demonstrate|run --store IP:PORT --proxy IP:PORT... [FILE...]");
+          "usage: "
+              + NAME
+              + " demonstrate|run|slopes --store IP:PORT --proxy IP:PORT... [FILE...]");
       parser.printUsage(System.out);
       System.exit(main.help ? 0 : Daemon.EXIT_USAGE);
     }
@@ -96,6 +99,10 @@
         yield new Demonstration(http, proxies, store).run() == 0 ? 0 : 1;
       }
       case "run" -> runExperiments(new ExperimentRunner(http, proxies, store));
+      case "slopes" -> {
+        new Slopes().run();
+        yield 0;
+      }
       default -> {
         System.err.println(NAME + ": no command " + command + "; see --help");
         yield Daemon.EXIT_USAGE;
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/caller/Caller.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/caller/Caller.java
@@ -75,6 +75,7 @@
     request
         .maxStaleSeconds()
         .ifPresent(age -> headers.addAll(List.of("Cache-Control", "max-stale=" + age)));
+    request.waitSeconds().ifPresent(wait -> headers.addAll(List.of("Prefer", "wait=" + wait)));
     Result<Reply, CallFailure> result =
         http.call("POST", proxy, path, request.body(), timeout, headers.toArray(String[]::new));
     return switch (result) {
@@ -112,7 +113,11 @@
    * @param key The idempotency key.
    * @param maxStaleSeconds The accepted age in seconds.
    */
-  public record Request(JsonNode body, Optional<String> key, Optional<Integer> maxStaleSeconds) {
+  public record Request(
+      JsonNode body,
+      Optional<String> key,
+      Optional<Integer> maxStaleSeconds,
+      Optional<Integer> waitSeconds) {
 
     /**
      * Creates a request with a statement about one object.
@@ -126,7 +131,7 @@
       ObjectNode body = Json.mapper().createObjectNode();
       body.put("statement", statement).put("partition", object);
       body.putObject("arguments").put("object", object).put("value", value);
-      return new Request(body, Optional.empty(), Optional.empty());
+      return new Request(body, Optional.empty(), Optional.empty(), Optional.empty());
     }
 
     /**
@@ -136,7 +141,7 @@
      * @return The changed request.
      */
     public Request withKey(String newKey) {
-      return new Request(body, Optional.of(newKey), maxStaleSeconds);
+      return new Request(body, Optional.of(newKey), maxStaleSeconds, waitSeconds);
     }
 
     /**
@@ -146,7 +151,7 @@
      * @return The changed request.
      */
     public Request withMaxStale(int seconds) {
-      return new Request(body, key, Optional.of(seconds));
+      return new Request(body, key, Optional.of(seconds), waitSeconds);
     }
 
     /**
@@ -158,7 +163,17 @@
     public Request withCost(int millis) {
       ObjectNode changed = body.deepCopy();
       ((ObjectNode) changed.path("arguments")).put("cost", millis);
-      return new Request(changed, key, maxStaleSeconds);
+      return new Request(changed, key, maxStaleSeconds, waitSeconds);
+    }
+
+    /**
+     * Sets the time after which the caller gives up.
+     *
+     * @param seconds The time in seconds.
+     * @return The changed request.
+     */
+    public Request withWait(int seconds) {
+      return new Request(body, key, maxStaleSeconds, Optional.of(seconds));
     }
   }
 
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/StreamRun.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/StreamRun.java
@@ -107,7 +107,9 @@
     try {
       String object = "object-" + choice % spec.partitions();
       Caller.Request request =
-          Caller.Request.of(spec.statement(), object, "value").withCost(spec.costMillis());
+          Caller.Request.of(spec.statement(), object, "value")
+              .withCost(spec.costMillis())
+              .withWait(spec.waitSeconds());
       if (spec.keyed()) {
         request = request.withKey(spec.name() + "-" + start + "-" + number);
       }
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/StreamSpec.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/StreamSpec.java
@@ -15,6 +15,7 @@
  *     none.
  * @param partitions The number of partitions that the requests are spread over.
  * @param crest {@code true} if the rate follows the crest.
+ * @param waitSeconds The time in seconds after which callers give up.
  * @param keyed {@code true} if each request carries an idempotency key.
  */
 record StreamSpec(
@@ -26,11 +27,15 @@
     int sessions,
     int partitions,
     boolean crest,
+    int waitSeconds,
     boolean keyed) {
 
   /** The highest number of requests a second. */
   private static final int MAXIMUM_RATE = 5_000;
 
+  /** The default time after which callers give up. */
+  private static final Duration WAIT = Duration.ofSeconds(8);
+
   /** The default number of partitions. */
   private static final int PARTITIONS = 64;
 
@@ -52,6 +57,7 @@
         reader.integer(key + "sessions", 0, 0, 1_000),
         reader.integer(key + "partitions", PARTITIONS, 1, 10_000),
         reader.flag(key + "crest", false),
+        (int) reader.duration(key + "wait", WAIT).toSeconds(),
         reader.flag(key + "keyed", false));
   }
 }
--- /dev/null
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/slope/Slopes.java
@@ -0,0 +1,275 @@
+package org.hickoryshed.load.slope;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.IntConsumer;
+import java.util.stream.IntStream;
+import org.hickoryshed.decision.commit.Confirmation;
+import org.hickoryshed.decision.configuration.Configuration;
+import org.hickoryshed.decision.configuration.ConfigurationCheck;
+import org.hickoryshed.decision.configuration.Database;
+import org.hickoryshed.decision.configuration.Member;
+import org.hickoryshed.decision.configuration.Pool;
+import org.hickoryshed.decision.configuration.Route;
+import org.hickoryshed.decision.failover.Candidates;
+import org.hickoryshed.decision.failover.Suspicion;
+import org.hickoryshed.decision.failover.SuspicionLimits;
+import org.hickoryshed.decision.membership.SpreadTree;
+import org.hickoryshed.decision.membership.Vm;
+import org.hickoryshed.decision.membership.VmList;
+import org.hickoryshed.decision.pool.Command;
+import org.hickoryshed.decision.pool.MemberScheduler;
+import org.hickoryshed.decision.pool.PoolLimits;
+import org.hickoryshed.decision.pool.Work;
+import org.hickoryshed.decision.pool.WorkEnd;
+import org.hickoryshed.decision.route.DatabaseChoice;
+import org.hickoryshed.decision.route.MemberChoice;
+import org.hickoryshed.decision.topology.DatabaseView;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.decision.topology.MemberStatus;
+import org.hickoryshed.decision.topology.Role;
+import org.hickoryshed.kernel.event.HybridTime;
+import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.protocol.message.Frame;
+import org.hickoryshed.protocol.message.FrameCodec;
+import org.hickoryshed.protocol.message.Message;
+
+/** Measures what decisions and codecs cost, at today's and at the target's sizes. */
+public final class Slopes {
+
+  /** The number of failure domains. */
+  private static final int DOMAINS = 4;
+
+  /** The time in nanoseconds for which each loop is repeated before and in the measurement. */
+  private static final long LOOP = 400_000_000;
+
+  /** The limits of the measured suspicion. */
+  private static final SuspicionLimits LIMITS = new SuspicionLimits(500, 150, 2_000, 150);
+
+  /** The sink of results, so that no loop is optimized away. */
+  private int sink;
+
+  /** Measures and prints all slopes. */
+  public void run() {
+    System.out.printf("%-52s %14s%n", "decision or codec", "ns each");
+    schedule(0);
+    schedule(200);
+    for (int databases : List.of(3, 3_000)) {
+      Configuration configuration = configuration(databases);
+      int bytes = Json.write(configuration).length;
+      System.out.printf("%-52s %14d%n", "bytes of configuration, databases: " + databases, bytes);
+      measure(
+          "check of the configuration, databases: " + databases,
+          step -> sink += ConfigurationCheck.problems(configuration).size());
+      measure(
+          "look-up of a database, databases: " + databases,
+          step -> sink += configuration.database("d-" + (databases - 1)).hashCode());
+    }
+    for (int vms : List.of(7, 2_100)) {
+      VmList list = vmList(vms);
+      System.out.printf("%-52s %14d%n", "bytes of VM list, VMs: " + vms, Json.write(list).length);
+      measure(
+          "candidates of a database, VMs: " + vms,
+          step -> sink += Candidates.of("d-" + step % 64, list).size());
+      measure(
+          "place in the spread tree, VMs: " + vms,
+          step -> sink += SpreadTree.of(list, "domain-0", "vm-4").isWatcher() ? 1 : 0);
+    }
+    perRequest();
+  }
+
+  /** Measures what each request or status costs. */
+  private void perRequest() {
+    Pool pool = configuration(3).pools().getFirst();
+    Database database = pool.databases().getFirst();
+    DatabaseView view = DatabaseView.EMPTY.with(statuses(5));
+    MemberChoice choice = new MemberChoice("domain-0", "region-0");
+    measure("choice of a database", step -> sink += DatabaseChoice.of(pool, "p" + step).hashCode());
+    measure(
+        "choice of members for a read",
+        step -> sink += choice.forRead(database, view, Set.of(), false).size());
+    LogPosition position = new LogPosition(5, 90);
+    measure(
+        "confirmation of a position",
+        step -> sink += Confirmation.of(position, view.statuses().values(), 3).ordinal());
+    Suspicion suspicion = new Suspicion(LIMITS, 3, 0);
+    List<MemberStatus> statuses = statuses(5);
+    measure(
+        "status taken and judged by a candidate",
+        step -> {
+          suspicion.answered(statuses.get(step % 3), step);
+          sink += suspicion.judge(0, step).ordinal();
+        });
+    Frame frame =
+        new Frame(
+            1, true, new HybridTime(1, 1), new Message.Status(Optional.of(statuses.getFirst())));
+    measure("frame of a status, written and read", step -> sink += writeAndRead(frame));
+    System.out.printf("%-52s %14d%n", "bytes of a status frame", encode(frame).length);
+  }
+
+  /**
+   * Measures the scheduler with waiting work.
+   *
+   * @param waiting The number of units of work that wait.
+   */
+  private void schedule(int waiting) {
+    PoolLimits limits =
+        new PoolLimits(16, 2, Pool.Scheduling.SHORT_FIRST, 50, 4_096, 1_000_000_000L);
+    MemberScheduler scheduler = new MemberScheduler(limits);
+    List<Command> opened = scheduler.arrived(work(0));
+    for (Command command : opened) {
+      if (command instanceof Command.Connect(long connection)) {
+        scheduler.connected(connection, 0);
+      }
+    }
+    for (int id = 1; id <= waiting + 1; id++) {
+      scheduler.arrived(work(id));
+    }
+    long[] next = {waiting + 2, 0};
+    measure(
+        "work scheduled and finished, waiting: " + waiting,
+        step -> {
+          scheduler.arrived(work(next[0]++));
+          sink += scheduler.finished(next[1]++, WorkEnd.ANSWERED, 1).size();
+        });
+  }
+
+  /**
+   * Creates work.
+   *
+   * @param id The identifier of the work.
+   * @return The work.
+   */
+  private static Work work(long id) {
+    return new Work(id, "route/statement", Work.Kind.READ, 0, 1, 1, Long.MAX_VALUE / 2);
+  }
+
+  /**
+   * Repeats a step and prints its mean time.
+   *
+   * @param name The name of the measurement.
+   * @param step The step, called with its number.
+   */
+  private static void measure(String name, IntConsumer step) {
+    repeat(step);
+    System.out.printf("%-52s %14.0f%n", name, repeat(step));
+  }
+
+  /**
+   * Repeats a step for a fixed time.
+   *
+   * @param step The step, called with its number.
+   * @return The mean time in nanoseconds.
+   */
+  private static double repeat(IntConsumer step) {
+    long start = System.nanoTime();
+    int count = 0;
+    while (System.nanoTime() - start < LOOP) {
+      step.accept(count++);
+    }
+    return (double) (System.nanoTime() - start) / count;
+  }
+
+  /**
+   * Creates a configuration.
+   *
+   * @param databases The number of databases.
+   * @return The configuration.
+   */
+  private static Configuration configuration(int databases) {
+    List<Database> held = new ArrayList<>();
+    for (int number = 0; number < databases; number++) {
+      int database = number;
+      List<Member> members =
+          IntStream.range(0, 3)
+              .mapToObj(
+                  member ->
+                      new Member(
+                          "d-" + database + "-" + member,
+                          "10.0.%d.%d:5432".formatted(database % 250, member),
+                          "domain-" + (database + member) % DOMAINS,
+                          "region-" + member % 2))
+              .toList();
+      held.add(new Database("d-" + number, members));
+    }
+    Pool pool = new Pool("p", held, 16, 2, Pool.Scheduling.SHORT_FIRST, 50);
+    Route route =
+        new Route("r", "p", Route.Access.READ, Route.Reads.REPLICAS, Optional.empty(), 1_000, 1);
+    return new Configuration(1, "edit", List.of(route), List.of(pool));
+  }
+
+  /**
+   * Creates a VM list.
+   *
+   * @param count The number of VMs.
+   * @return The VM list.
+   */
+  private static VmList vmList(int count) {
+    List<Vm> vms =
+        IntStream.range(0, count)
+            .mapToObj(
+                number ->
+                    new Vm(
+                        "vm-" + number,
+                        "domain-" + number % DOMAINS,
+                        "10.1.0.1:7001",
+                        "10.1.0.1:7002",
+                        false))
+            .toList();
+    return new VmList(1, vms, List.of());
+  }
+
+  /**
+   * Creates the statuses of a healthy database.
+   *
+   * @param term The term.
+   * @return The statuses.
+   */
+  private static List<MemberStatus> statuses(long term) {
+    return IntStream.range(0, 3)
+        .mapToObj(
+            member ->
+                new MemberStatus(
+                    "d-0-" + member,
+                    member == 0 ? Role.PRIMARY : Role.REPLICA,
+                    term,
+                    term,
+                    100,
+                    100,
+                    Optional.of("d-0-0")))
+        .toList();
+  }
+
+  /**
+   * Writes and reads a frame.
+   *
+   * @param frame The frame.
+   * @return The length of the frame.
+   */
+  private static int writeAndRead(Frame frame) {
+    byte[] content = encode(frame);
+    try {
+      return FrameCodec.decode(content).hashCode();
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    }
+  }
+
+  /**
+   * Encodes a frame.
+   *
+   * @param frame The frame.
+   * @return The frame as MessagePack.
+   */
+  private static byte[] encode(Frame frame) {
+    try {
+      return FrameCodec.encode(frame);
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    }
+  }
+}
--- a/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/message/FrameCodec.java
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/message/FrameCodec.java
@@ -63,6 +63,17 @@
     if (length < 0 || length > MAXIMUM_LENGTH) {
       throw new IOException("a frame of " + length + " bytes is not acceptable");
     }
-    return MAPPER.readValue(input.readNBytes(length), Frame.class);
+    return decode(input.readNBytes(length));
+  }
+
+  /**
+   * Decodes a frame.
+   *
+   * @param content The frame as MessagePack.
+   * @return The frame.
+   * @throws IOException If the content is malformed.
+   */
+  public static Frame decode(byte[] content) throws IOException {
+    return MAPPER.readValue(content, Frame.class);
   }
 }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/ReadPath.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/ReadPath.java
@@ -73,12 +73,11 @@
    */
   private Outcome tryMembers(EntryRequest request, LogPosition floor, Outcome before) {
     Database database = request.database();
-    Set<String> unavailable = new HashSet<>(documents.vmList().leavingMembers());
+    Set<String> leaving = new HashSet<>(documents.vmList().leavingMembers());
     locator.primary(database);
     boolean primaryOnly =
         request.route().reads() == Route.Reads.PRIMARY && request.maxAgeMillis().isEmpty();
-    List<Member> members =
-        choice.forRead(database, locator.view(database), unavailable, primaryOnly);
+    List<Member> members = choice.forRead(database, locator.view(database), leaving, primaryOnly);
     Outcome latest = before;
     for (Member member : members) {
       Message.Executed executed = forwarder.execute(member, message(request, member, floor));
