--- /dev/null
+++ b/hickoryshed-control/src/test/java/org/hickoryshed/control/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the operators' tool. */
+package org.hickoryshed.control;
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Cluster.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Cluster.java
@@ -4,6 +4,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -25,6 +30,7 @@
 import org.hickoryshed.decision.configuration.Pool;
 import org.hickoryshed.decision.configuration.Route;
 import org.hickoryshed.decision.topology.MemberStatus;
+import org.hickoryshed.kernel.json.Json;
 
 /** The real binaries as processes: one database in three failure domains. */
 final class Cluster implements AutoCloseable {
@@ -115,6 +121,32 @@
         .orElse(0L);
   }
 
+  String metrics(int domain) {
+    return admin(domain, "/metrics")
+        .map(reply -> new String(reply.body(), StandardCharsets.UTF_8))
+        .orElse("");
+  }
+
+  /** Sends a raw body, which may be malformed, and returns the body of the answer. */
+  JsonNode post(int domain, String path, String body, String... headers) {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create("http://" + proxy(domain) + path))
+            .POST(HttpRequest.BodyPublishers.ofString(body));
+    if (headers.length > 0) {
+      request.headers(headers);
+    }
+    try (HttpClient client = HttpClient.newHttpClient()) {
+      byte[] answer =
+          client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray()).body();
+      return Json.read(answer, JsonNode.class).value().orElseThrow();
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError(exception);
+    }
+  }
+
   void faults(String address, Map<String, Object> faults) {
     http.call("POST", address, "/v1/faults", faults, TIMEOUT);
   }
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ProcessTest.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ProcessTest.java
@@ -16,6 +16,7 @@
 class ProcessTest {
 
   private static final int SOME = 30;
+  private static final String GET = "{\"statement\": \"get\", \"arguments\": {}}";
 
   /** A third of the requests waits for a frozen proxy until the caller gives up. */
   private static final int FEW = 8;
@@ -137,6 +138,26 @@
     assertThat(read.values()).isEqualTo(List.of());
   }
 
+  @Test
+  void answersBadInputWithTypedProblems() {
+    assertThat(problem(Cluster.STOCK, "{")).isEqualTo("/problems/malformed-body");
+    assertThat(problem(Cluster.STOCK, "{}")).isEqualTo("/problems/malformed-body");
+    assertThat(problem("/v1/routes/none/statements", GET)).isEqualTo("/problems/unknown-route");
+    assertThat(problem("/v1/nothing", GET)).isEqualTo("/problems/unknown-path");
+    assertThat(problem(Cluster.STOCK, "\"" + "x".repeat(2_000_000) + "\""))
+        .isEqualTo("/problems/body-too-large");
+    assertThat(problem(Cluster.STOCK, GET, "Hickoryshed-Session", "garbage"))
+        .isEqualTo("/problems/malformed-session");
+    assertThat(problem(Cluster.STOCK, GET.replace("get", "drop"))).isEqualTo("/problems/rejected");
+    assertThat(problem(Cluster.ORDERS + "/transactions/x/commit", ""))
+        .isEqualTo("/problems/no-transaction");
+    assertThat(cluster.metrics(1)).contains("hickoryshed_requests_malformed_total");
+  }
+
+  private String problem(String path, String body, String... headers) {
+    return cluster.post(1, path, body, headers).path("type").asText();
+  }
+
   private Caller.Answer send(Caller caller, int domain, Caller.Request request) {
     return caller.send(cluster.proxy(domain), Cluster.ORDERS + "/statements", request);
   }
--- /dev/null
+++ b/hickoryshed-proxy/src/test/java/org/hickoryshed/proxy/entry/WriteAttemptsTest.java
@@ -0,0 +1,62 @@
+package org.hickoryshed.proxy.entry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.protocol.statement.Outcome;
+import org.hickoryshed.protocol.statement.Reason;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link WriteAttempts}. */
+class WriteAttemptsTest {
+
+  private static final Outcome LOST = new Outcome.Unknown(Reason.ANSWER_LOST, "");
+  private static final Outcome REFUSED = new Outcome.NotRun(Reason.OVERLOADED, "");
+  private static final Outcome NOT_PRIMARY = new Outcome.NotRun(Reason.NOT_PRIMARY, "");
+  private static final Outcome CANCELLED = new Outcome.NotRun(Reason.CANCELLED, "");
+  private static final Outcome DONE =
+      new Outcome.Done(Json.mapper().createArrayNode(), LogPosition.ORIGIN, "a-1", false);
+
+  @Test
+  void sendsRequestWithoutKeyOnceIfItMayHaveRun() {
+    assertThat(new WriteAttempts(false).mayRetry(LOST)).isFalse();
+  }
+
+  @Test
+  void triesRequestWithoutKeyAgainIfItDidNotRun() {
+    assertThat(new WriteAttempts(false).mayRetry(NOT_PRIMARY)).isTrue();
+  }
+
+  @Test
+  void staysUnknownIfLaterAttemptIsRefused() {
+    WriteAttempts attempts = new WriteAttempts(true);
+    attempts.mayRetry(LOST);
+
+    assertThat(attempts.mayRetry(REFUSED)).isTrue();
+    assertThat(attempts.outcome()).isEqualTo(LOST);
+  }
+
+  @Test
+  void resolvesUnknownByRecordedOutcome() {
+    WriteAttempts attempts = new WriteAttempts(true);
+    attempts.mayRetry(LOST);
+
+    assertThat(attempts.mayRetry(DONE)).isFalse();
+    assertThat(attempts.outcome()).isEqualTo(DONE);
+  }
+
+  @Test
+  void resolvesUnknownByCancelledKey() {
+    WriteAttempts attempts = new WriteAttempts(true);
+    attempts.mayRetry(LOST);
+
+    assertThat(attempts.mayRetry(CANCELLED)).isFalse();
+    assertThat(attempts.outcome()).isEqualTo(CANCELLED);
+  }
+
+  @Test
+  void returnsRefusalOfOverloadAtOnce() {
+    assertThat(new WriteAttempts(true).mayRetry(REFUSED)).isFalse();
+  }
+}
