Probe replicas and far candidates seldom, and ask dead members for connections seldom

Change: 100 ms ticks; the first candidate probes the primary at each, others at each third, replicas at each tenth, all of them at each while a primary is suspected; ranks and preferred poolers are kept as long as the VM list is; a refused connection is asked for again after 2 s unless work waits. Test: asksDeadMemberForConnectionsSeldomWhileNoWorkWaits (written with the change).

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/pool/Connections.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/pool/Connections.java
@@ -13,8 +13,11 @@
 /** The connections to one member: each is idle, carries one statement or one transaction. */
 final class Connections {
 
-  /** The pause in milliseconds after a connection was refused. */
-  private static final long REFUSED_PAUSE = 50;
+  /** The pause in milliseconds after a connection was refused while work waits. */
+  private static final long URGENT_PAUSE = 50;
+
+  /** The pause in milliseconds after a connection was refused while no work waits. */
+  private static final long IDLE_PAUSE = 2_000;
 
   /** The connections that carry nothing, most recently used first. */
   private final Deque<Long> idle = new ArrayDeque<>();
@@ -31,19 +34,21 @@
   /** The identifier of the latest connection. */
   private long latest;
 
-  /** The time in milliseconds before which no connection is opened. */
-  private long pausedUntil;
+  /** The time in milliseconds at which a connection was last refused. */
+  private long refusedAt = Long.MIN_VALUE / 2;
 
   /**
    * Opens a connection if the limit allows it.
    *
    * @param limit The largest number of connections.
+   * @param urgent {@code true} if work waits for the connection.
    * @param now The current time in milliseconds.
    * @param commands The commands to add to.
    * @return {@code true} if a connection is being opened.
    */
-  boolean open(int limit, long now, List<Command> commands) {
-    if (total() >= limit || now < pausedUntil) {
+  boolean open(int limit, boolean urgent, long now, List<Command> commands) {
+    long pause = urgent ? URGENT_PAUSE : IDLE_PAUSE;
+    if (total() >= limit || now - refusedAt < pause) {
       return false;
     }
     opening.add(++latest);
@@ -70,7 +75,7 @@
    */
   void refused(long connection, long now) {
     opening.remove(connection);
-    pausedUntil = now + REFUSED_PAUSE;
+    refusedAt = now;
   }
 
   /**
--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/pool/MemberScheduler.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/pool/MemberScheduler.java
@@ -354,7 +354,8 @@
     long needed = waiting.stream().filter(work -> !isInTransaction(work)).count();
     long ready = retiring ? 0 : limits.slots() + READY_BEYOND_SLOTS - running.size();
     long wanted = Math.max(Math.min(needed, limits.slots()), ready);
-    while (connections.spare() < wanted && connections.open(limits.connections(), now, commands)) {
+    while (connections.spare() < wanted
+        && connections.open(limits.connections(), needed > 0, now, commands)) {
       // Continues until enough connections are open or being opened.
     }
   }
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/pool/MemberSchedulerTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/pool/MemberSchedulerTest.java
@@ -94,6 +94,21 @@
     assertThat(commands).contains(new Command.Refuse(work, new Refusal.NoConnection()));
   }
 
+  @Test
+  void asksDeadMemberForConnectionsSeldomWhileNoWorkWaits() {
+    MemberScheduler scheduler = scheduler(Pool.Scheduling.SHORT_FIRST);
+    int connects = 0;
+    for (int tick = 0; tick < 500; tick++) {
+      now += 20;
+      commands.clear();
+      commands.addAll(scheduler.elapsed(now));
+      connects += opening().size();
+      opening().forEach(connection -> scheduler.connectFailed(connection, now));
+    }
+
+    assertThat(connects).isLessThanOrEqualTo(5 * (SLOTS + 1));
+  }
+
   @Test
   void givesIdleConnectionsUpWhileRetiring() {
     MemberScheduler scheduler = warm(Pool.Scheduling.SHORT_FIRST);
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Cluster.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Cluster.java
@@ -136,8 +136,7 @@
       request.headers(headers);
     }
     try (HttpClient client = HttpClient.newHttpClient()) {
-      byte[] answer =
-          client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray()).body();
+      byte[] answer = client.send(request.build(), HttpResponse.BodyHandlers.ofByteArray()).body();
       return Json.read(answer, JsonNode.class).value().orElseThrow();
     } catch (IOException exception) {
       throw new UncheckedIOException(exception);
--- a/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DatabaseGuard.java
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DatabaseGuard.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -64,8 +65,14 @@
   /** The duties of this guard. */
   private final List<PeriodicDuty> duties = new ArrayList<>();
 
+  /** The probes by the names of the members. */
+  private final Map<String, ProbeSchedule> schedules = new ConcurrentHashMap<>();
+
+  /** The candidates under the latest VM list. */
+  private volatile Ranking ranking = new Ranking(VmList.EMPTY, List.of(), OptionalInt.empty());
+
   /** True while a primary is suspected. */
-  private boolean suspecting;
+  private volatile boolean suspecting;
 
   /**
    * Creates a new guard.
@@ -95,7 +102,8 @@
     for (Member member : database.members()) {
       duties.add(
           new PeriodicDuty(
-              "probe-" + member.name(), settings.probeInterval(), () -> probe(member)));
+              "probe-" + member.name(), settings.probeInterval(), () -> probeIfDue(member)));
+      schedules.put(member.name(), new ProbeSchedule());
     }
     duties.add(new PeriodicDuty("judge-" + database.name(), JUDGEMENT, this::judge));
   }
@@ -142,6 +150,38 @@
     }
   }
 
+  /**
+   * Asks a member for its status if its next probe is due.
+   *
+   * @param member The member.
+   */
+  private void probeIfDue(Member member) {
+    boolean primary;
+    synchronized (suspicion) {
+      primary = suspicion.suspect().equals(member.name());
+    }
+    boolean first = ranking().rank().orElse(1) == 0;
+    if (schedules.get(member.name()).isDue(primary, first, suspecting)) {
+      probe(member);
+    }
+  }
+
+  /**
+   * Returns the candidates under the latest VM list.
+   *
+   * @return The candidates and the own rank.
+   */
+  private Ranking ranking() {
+    VmList list = documents.vmList();
+    Ranking known = ranking;
+    if (known.list() != list) {
+      List<Vm> candidates = Candidates.of(database.name(), list);
+      known = new Ranking(list, candidates, Candidates.rank(candidates, settings.name()));
+      ranking = known;
+    }
+    return known;
+  }
+
   /**
    * Asks a member for its status.
    *
@@ -195,8 +235,8 @@
 
   /** Judges the primary and acts on the verdict. */
   private void judge() {
-    VmList vms = documents.vmList();
-    OptionalInt rank = Candidates.rank(Candidates.of(database.name(), vms), settings.name());
+    VmList vms = ranking().list();
+    OptionalInt rank = ranking().rank();
     if (rank.isEmpty()) {
       return;
     }
@@ -250,7 +290,7 @@
     unreachable.add(settings.domain());
     Message question = new Message.AskWitness(database.name(), suspect);
     List<Thread> threads = new ArrayList<>();
-    for (Vm vm : Candidates.of(database.name(), vms)) {
+    for (Vm vm : ranking().candidates()) {
       if (!vm.domain().equals(settings.domain())) {
         threads.add(Thread.ofVirtual().start(() -> ask(vm, question, unreachable)));
       }
@@ -320,4 +360,13 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  /**
+   * The candidates under a VM list.
+   *
+   * @param list The VM list.
+   * @param candidates The candidates in the order in which they act.
+   * @param rank The own rank or an empty optional.
+   */
+  private record Ranking(VmList list, List<Vm> candidates, OptionalInt rank) {}
 }
--- a/hickoryshed-failover/src/main/java/org/hickoryshed/failover/FailoverSettings.java
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/FailoverSettings.java
@@ -29,7 +29,7 @@
     SuspicionLimits limits) {
 
   /** The default time between two questions to a member. */
-  private static final Duration PROBE_INTERVAL = Duration.ofMillis(50);
+  private static final Duration PROBE_INTERVAL = Duration.ofMillis(100);
 
   /** The default longest time to wait for a member. */
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
--- a/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/settings/SettingsReaderTest.java
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/settings/SettingsReaderTest.java
@@ -30,7 +30,11 @@
     assertThat(reader.problems())
         .containsExactly(
             new SettingsProblem(
-                SOURCE, 2, "wait", "5 parsecs", "a duration such as \"250 ms\" (units ms, s, m, h)"));
+                SOURCE,
+                2,
+                "wait",
+                "5 parsecs",
+                "a duration such as \"250 ms\" (units ms, s, m, h)"));
   }
 
   @Test
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
@@ -9,6 +9,7 @@
 import org.hickoryshed.decision.configuration.Member;
 import org.hickoryshed.decision.membership.Rendezvous;
 import org.hickoryshed.decision.membership.Vm;
+import org.hickoryshed.decision.membership.VmList;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.kernel.result.Result;
 import org.hickoryshed.protocol.message.Message;
@@ -47,6 +48,10 @@
   /** The metrics. */
   private final Metrics metrics;
 
+  /** The preferred poolers under the latest VM list. */
+  private volatile Preferences latestPreferences =
+      new Preferences(VmList.EMPTY, new ConcurrentHashMap<>());
+
   /** The times in milliseconds until which VMs are passed over, by name. */
   private final Map<String, Long> unreachableUntil = new ConcurrentHashMap<>();
 
@@ -190,8 +195,7 @@
   private List<Vm> candidates(Member member) {
     long now = System.currentTimeMillis();
     List<Vm> reachable = new ArrayList<>();
-    for (Vm vm :
-        Rendezvous.order(member.name(), documents.vmList().staying(member.domain()), Vm::name)) {
+    for (Vm vm : preferences(member)) {
       if (unreachableUntil.getOrDefault(vm.name(), 0L) <= now) {
         reachable.add(vm);
       }
@@ -199,6 +203,25 @@
     return reachable;
   }
 
+  /**
+   * Returns the VMs that may serve as pooler of a member, whether reachable or not.
+   *
+   * @param member The member.
+   * @return The VMs, most preferred first.
+   */
+  private List<Vm> preferences(Member member) {
+    VmList list = documents.vmList();
+    Preferences known = latestPreferences;
+    if (known.list() != list) {
+      known = new Preferences(list, new ConcurrentHashMap<>());
+      latestPreferences = known;
+    }
+    return known
+        .byMember()
+        .computeIfAbsent(
+            member, key -> Rendezvous.order(key.name(), list.staying(key.domain()), Vm::name));
+  }
+
   /**
    * Checks if a VM is the own one.
    *
@@ -218,4 +241,12 @@
   private static Message.Executed unknown(String detail) {
     return new Message.Executed(new Outcome.Unknown(Reason.ANSWER_LOST, detail), Optional.empty());
   }
+
+  /**
+   * The preferred poolers under a VM list.
+   *
+   * @param list The VM list.
+   * @param byMember The VMs, most preferred first, by the members.
+   */
+  private record Preferences(VmList list, Map<Member, List<Vm>> byMember) {}
 }
--- a/hickoryshed-proxy/src/test/java/org/hickoryshed/proxy/entry/WriteAttemptsTest.java
+++ b/hickoryshed-proxy/src/test/java/org/hickoryshed/proxy/entry/WriteAttemptsTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.hickoryshed.kernel.json.Json;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.kernel.json.Json;
 import org.hickoryshed.protocol.statement.Outcome;
 import org.hickoryshed.protocol.statement.Reason;
 import org.junit.jupiter.api.Test;
