Look at all members once more before a promotion

Cause: under three killed primaries a candidate of a higher rank promoted orders-c in term 4, 350 ms after another candidate had in term 3: it still held the old suspicion, because it probes replicas seldom since they are paced. Ruled out: the witnesses (they rightly did not reach the old primary). Change: before an attempt all members are asked once (at most 100 ms); if one names a newer primary, nothing is promoted.

--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/scenario/FailoverSteps.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/scenario/FailoverSteps.java
@@ -72,6 +72,17 @@
     }
   }
 
+  @When("a-3 reports that it follows {word} in term {int}")
+  public void reportNewerPrimary(String primary, int term) {
+    suspicion.answered(
+        new MemberStatus("a-3", Role.REPLICA, term, term, 20, 20, Optional.of(primary)), now);
+  }
+
+  @Then("the candidate suspects {word}")
+  public void suspects(String member) {
+    assertThat(suspicion.suspect()).isEqualTo(member);
+  }
+
   @When("failure domain {word} does not reach the primary")
   public void witness(String domain) {
     unreachable.add(domain);
--- a/hickoryshed-decision/src/test/resources/scenarios/failover.feature
+++ b/hickoryshed-decision/src/test/resources/scenarios/failover.feature
@@ -73,3 +73,12 @@
     Then the candidate trusts the primary
     When 300 ms pass in term 4
     Then the candidate asks the witnesses
+
+  Scenario: A candidate that learns of a newer primary no longer judges the old one
+    When the process of a-1 is killed
+    And 250 ms pass in term 4
+    Then the candidate asks the witnesses
+    And the candidate suspects a-1
+    When a-3 reports that it follows a-2 in term 5
+    Then the candidate suspects a-2
+    And the candidate trusts the primary
--- a/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DatabaseGuard.java
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DatabaseGuard.java
@@ -38,6 +38,9 @@
   /** The longest time to wait for an answer to an order. */
   private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
 
+  /** The longest time in milliseconds to wait for members before an attempt. */
+  private static final long LAST_LOOK = 100;
+
   /** The pause in milliseconds after an attempt, so that its effect is seen. */
   private static final long ATTEMPT_PAUSE = 300;
 
@@ -253,11 +256,29 @@
           case PROMOTE -> true;
           case ASK_WITNESSES -> isConfirmed(suspect, vms);
         };
-    if (act) {
+    if (act && isStillSuspect(suspect)) {
       promote(suspect, vms);
     }
   }
 
+  /**
+   * Looks whether another candidate has promoted a successor in the meantime.
+   *
+   * @param suspect The name of the primary that was judged.
+   * @return {@code true} if no member knows a newer primary.
+   */
+  private boolean isStillSuspect(String suspect) {
+    List<Thread> probes = new ArrayList<>();
+    for (Member member : database.members()) {
+      probes.add(Thread.ofVirtual().start(() -> probe(member)));
+    }
+    long end = System.currentTimeMillis() + LAST_LOOK;
+    probes.forEach(thread -> join(thread, end - System.currentTimeMillis()));
+    synchronized (suspicion) {
+      return suspicion.suspect().equals(suspect);
+    }
+  }
+
   /**
    * Records when a suspicion begins or ends.
    *
