--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/metric/Metrics.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/metric/Metrics.java
@@ -2,7 +2,7 @@
 
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -68,23 +68,12 @@
    * @param value The source of the value.
    */
   public void gauge(String name, DoubleSupplier value) {
-    io.prometheus.metrics.core.metrics.GaugeWithCallback.builder()
+    GaugeWithCallback.builder()
         .name(PREFIX + name)
         .callback(callback -> callback.call(value.getAsDouble()))
         .register(registry);
   }
 
-  /**
-   * Registers a gauge that is set explicitly.
-   *
-   * @param name The name of the gauge without prefix.
-   * @param label The name of the label.
-   * @return The gauge.
-   */
-  public Gauge gauge(String name, String label) {
-    return Gauge.builder().name(PREFIX + name).labelNames(label).register(registry);
-  }
-
   /**
    * Writes all metrics in the text format.
    *
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/PeerRequests.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/PeerRequests.java
@@ -21,7 +21,7 @@
     return switch (message) {
       case Message.Execute execute -> poolers.execute(execute);
       case Message.AskBarrier barrier -> poolers.barrier(barrier);
-      case Message.AskStatus status -> poolers.status(status);
+      case Message.AskStatus status -> poolers.memberStatus(status);
       case Message.AskDocuments question -> documents(question);
       default -> new Message.Unsupported(message.getClass().getSimpleName());
     };
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
@@ -141,7 +141,7 @@
     }
     return switch (question) {
       case Message.AskBarrier barrier -> Optional.of(poolers.barrier(barrier));
-      case Message.AskStatus status -> Optional.of(poolers.status(status));
+      case Message.AskStatus status -> Optional.of(poolers.memberStatus(status));
       default -> Optional.empty();
     };
   }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/Poolers.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/Poolers.java
@@ -189,7 +189,7 @@
    * @param request The request.
    * @return The status.
    */
-  public Message.Status status(Message.AskStatus request) {
+  public Message.Status memberStatus(Message.AskStatus request) {
     Optional<Database> database = documents.configuration().database(request.database());
     Optional<MemberStatus> status =
         database
