Keep requests away from a proxy that shuts down, and record its flaky test

Cause: on a fresh clone cutsOffNoRequestInGracefulShutdown FAILED once in four runs, 'expected: 0 but was: 1' request of unknown outcome. Read in the code, not traced: an entry tried a draining pooler again after 500 ms, so that a request could meet the end of its process; callers kept their connections to the draining proxy until it closed. Change: a pooler that says it is shutting down is passed over for 5 s; a draining proxy ends each connection after its next answer.

--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
@@ -30,6 +30,9 @@
   /** The server. */
   private final Undertow server;
 
+  /** True while this server drains. */
+  private volatile boolean draining;
+
   /**
    * Creates a new server.
    *
@@ -38,6 +41,7 @@
    */
   public HttpServer(InetSocketAddress address, HttpHandler handler) {
     inFlight = new GracefulShutdownHandler(exchange -> dispatch(exchange, handler));
+    HttpHandler closing = this::closeWhileDraining;
     server =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString())
@@ -45,10 +49,23 @@
             .setWorkerThreads(1)
             .setBufferSize(BUFFER_SIZE)
             .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-            .setHandler(inFlight)
+            .setHandler(closing)
             .build();
   }
 
+  /**
+   * Lets callers connect elsewhere after their answer while this server drains.
+   *
+   * @param exchange The exchange.
+   * @throws Exception If the handler fails.
+   */
+  private void closeWhileDraining(HttpServerExchange exchange) throws Exception {
+    if (draining) {
+      exchange.setPersistent(false);
+    }
+    inFlight.handleRequest(exchange);
+  }
+
   /**
    * Dispatches a request to a virtual thread.
    *
@@ -82,6 +99,11 @@
     server.start();
   }
 
+  /** Ends each connection after its next answer. */
+  public void startDraining() {
+    draining = true;
+  }
+
   /**
    * Refuses new requests and waits for those in flight.
    *
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
@@ -111,6 +111,7 @@
     draining = true;
     recorder.record("draining", "delay", settings.drainDelay(), "bound", settings.drainBound());
     poolers.drain();
+    callers.startDraining();
     long end = System.nanoTime() + settings.drainBound().toNanos();
     try {
       Thread.sleep(settings.drainDelay());
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
@@ -27,7 +27,7 @@
   /** The time in milliseconds for which a VM that refused a request is passed over. */
   private static final long REFUSED_FOR = 500;
 
-  /** The time in milliseconds for which a VM that did not answer is passed over. */
+  /** The time in milliseconds for which a VM that is silent or shutting down is passed over. */
   private static final long SILENT_FOR = 5_000;
 
   /** The time for which a reply may be later than the deadline of its request. */
@@ -158,7 +158,8 @@
       case Result.Success<Message, PeerFailure>(Message.Executed executed)
           when executed.outcome() instanceof Outcome.NotRun notRun
               && notRun.reason() == Reason.NOT_SERVED -> {
-        passOver(vm, REFUSED_FOR);
+        // The VM is shutting down. A request that meets its end would have an unknown outcome.
+        passOver(vm, SILENT_FOR);
         yield Optional.empty();
       }
       case Result.Success<Message, PeerFailure>(Message.Executed executed) -> Optional.of(executed);
