Name the configuration object of the store in one place

Cause: the last read of the change found the object's name written four times (proxy, ctl, load tool twice) and a needless local in HttpServer. StoreClient.CONFIGURATION serves all now; behaviour is unchanged.

--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
@@ -10,6 +10,9 @@
 /** A client of the platform's object store. */
 public final class StoreClient {
 
+  /** The name of the object that holds the configuration. */
+  public static final String CONFIGURATION = "configuration";
+
   /** The time that a watch waits beyond the wait that it asks for. */
   private static final Duration WATCH_MARGIN = Duration.ofSeconds(2);
 
--- a/hickoryshed-control/src/main/java/org/hickoryshed/control/TableEditor.java
+++ b/hickoryshed-control/src/main/java/org/hickoryshed/control/TableEditor.java
@@ -18,9 +18,6 @@
 /** Edits the tables in the platform's store. */
 final class TableEditor {
 
-  /** The name of the object that holds the configuration. */
-  private static final String CONFIGURATION = "configuration";
-
   /** The name of the object that holds the history. */
   private static final String HISTORY = "configuration-history";
 
@@ -56,7 +53,7 @@
    * @return The tables with their version in the store, or the failure.
    */
   Result<Versioned<Configuration>, EditFailure> current() {
-    return switch (store.read(CONFIGURATION, Configuration.class, TIMEOUT)) {
+    return switch (store.read(StoreClient.CONFIGURATION, Configuration.class, TIMEOUT)) {
       case Result.Success<Optional<Versioned<Configuration>>, CallFailure>(
               Optional<Versioned<Configuration>> found) ->
           Result.success(found.orElse(new Versioned<>(0, Configuration.EMPTY)));
@@ -104,7 +101,7 @@
           if (accepted.value().revision() != wanted.revision()) {
             return Result.failure(conflict(wanted, accepted.value()));
           }
-          store.write(CONFIGURATION, accepted.version(), next, TIMEOUT);
+          store.write(StoreClient.CONFIGURATION, accepted.version(), next, TIMEOUT);
         }
       }
     }
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
@@ -41,7 +41,6 @@
    */
   public HttpServer(InetSocketAddress address, HttpHandler handler) {
     inFlight = new GracefulShutdownHandler(exchange -> dispatch(exchange, handler));
-    HttpHandler closing = this::closeWhileDraining;
     server =
         Undertow.builder()
             .addHttpListener(address.getPort(), address.getHostString())
@@ -49,7 +48,7 @@
             .setWorkerThreads(1)
             .setBufferSize(BUFFER_SIZE)
             .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-            .setHandler(closing)
+            .setHandler(this::closeWhileDraining)
             .build();
   }
 
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/demonstration/Demonstration.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/demonstration/Demonstration.java
@@ -200,7 +200,7 @@
   private void halt(String name) {
     Optional<Versioned<Configuration>> read =
         new StoreClient(http, store)
-            .read("configuration", Configuration.class, TIMEOUT)
+            .read(StoreClient.CONFIGURATION, Configuration.class, TIMEOUT)
             .value()
             .flatMap(found -> found);
     String address =
--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/ExperimentRunner.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/experiment/ExperimentRunner.java
@@ -21,9 +21,6 @@
 /** Runs experiments against running processes. */
 public final class ExperimentRunner {
 
-  /** The name of the object that holds the configuration. */
-  private static final String CONFIGURATION = "configuration";
-
   /** The longest time to wait for the platform or a member. */
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
 
@@ -176,7 +173,10 @@
   private void apply(Variant variant) {
     Versioned<Configuration> accepted = accepted();
     Configuration next = variant.apply(accepted.value());
-    if (!store.write(CONFIGURATION, accepted.version(), next, TIMEOUT).value().orElse(false)) {
+    if (!store
+        .write(StoreClient.CONFIGURATION, accepted.version(), next, TIMEOUT)
+        .value()
+        .orElse(false)) {
       throw new IllegalStateException("the store did not accept variant " + variant.name());
     }
     pause(IN_FORCE);
@@ -216,7 +216,7 @@
    */
   private Versioned<Configuration> accepted() {
     return store
-        .read(CONFIGURATION, Configuration.class, TIMEOUT)
+        .read(StoreClient.CONFIGURATION, Configuration.class, TIMEOUT)
         .value()
         .flatMap(found -> found)
         .orElseThrow(() -> new IllegalStateException("the store holds no configuration"));
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/document/DocumentFeed.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/document/DocumentFeed.java
@@ -23,9 +23,6 @@
 /** Feeds the documents from the platform, if this VM is a watcher, and from peers. */
 public final class DocumentFeed implements Service {
 
-  /** The name of the object that holds the configuration. */
-  public static final String CONFIGURATION_OBJECT = "configuration";
-
   /** The time for which a watch waits. */
   private static final Duration WATCH_WAIT = Duration.ofSeconds(10);
 
@@ -115,7 +112,7 @@
       return;
     }
     Result<Optional<StoreClient.Versioned<Configuration>>, CallFailure> answer =
-        store.watch(CONFIGURATION_OBJECT, storeVersion, WATCH_WAIT, Configuration.class);
+        store.watch(StoreClient.CONFIGURATION, storeVersion, WATCH_WAIT, Configuration.class);
     switch (answer) {
       case Result.Success<Optional<StoreClient.Versioned<Configuration>>, CallFailure>(
               Optional<StoreClient.Versioned<Configuration>> found) -> {
