--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -0,0 +1,346 @@
+package org.hickoryshed.session;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hickoryshed.decision.directory.DatabaseRoute;
+import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.session.caller.CallerSession;
+import org.hickoryshed.session.caller.Gateway;
+import org.hickoryshed.session.directory.DirectoryListener;
+import org.hickoryshed.session.journal.EventLog;
+import org.hickoryshed.session.member.Database;
+import org.hickoryshed.session.member.MemberContext;
+import org.hickoryshed.session.member.MemberPool;
+import org.hickoryshed.session.net.Connection;
+import org.hickoryshed.session.net.EventLoop;
+import org.hickoryshed.session.wire.WireFormat;
+import org.tinylog.Logger;
+
+/** Accepts the sessions of callers and knows the members that serve them. */
+public final class SessionServer implements Gateway, DirectoryListener {
+
+  /** The time after which a member whose entry ended is no longer used, in milliseconds. */
+  private static final long REMOVAL_DELAY_MILLIS = 2500;
+
+  /** The pause between two looks for idle connections, in milliseconds. */
+  private static final long HOUSEKEEPING_MILLIS = 1000;
+
+  /** The highest number of bytes that wait to be sent to a caller. */
+  private static final int CALLER_OUTPUT_BYTES = 12 * 1024 * 1024;
+
+  /** What all pools share. */
+  private final MemberContext context;
+
+  /** The highest number of sessions. */
+  private final int sessionLimit;
+
+  /** The databases by the names of their pools. */
+  private final Map<String, Database> databases = new HashMap<>();
+
+  /** The entries of the members by their identifiers. */
+  private final Map<String, MemberEntry> members = new HashMap<>();
+
+  /** The identifiers of the members whose entries ended a moment ago. */
+  private final Set<String> ending = new HashSet<>();
+
+  /** The open sessions. */
+  private final Set<CallerSession> sessions = new LinkedHashSet<>();
+
+  /** The desired state in force. */
+  private volatile DesiredState desired = DesiredState.NONE;
+
+  /** True while sessions can be served. */
+  private volatile boolean serving;
+
+  /** True once this process shuts down. */
+  private volatile boolean draining;
+
+  /** The number of open sessions, for other threads. */
+  private volatile int sessionCount;
+
+  /**
+   * Creates a new server.
+   *
+   * @param context What all pools share.
+   * @param sessionLimit The highest number of sessions.
+   */
+  public SessionServer(MemberContext context, int sessionLimit) {
+    this.context = context;
+    this.sessionLimit = sessionLimit;
+    context.metrics().gauge("sessions", () -> sessionCount);
+    context.metrics().gauge("desired_version", () -> desired.version());
+    context.metrics().gauge("log_lines_dropped", () -> context.log().dropped());
+  }
+
+  /**
+   * Starts to accept sessions.
+   *
+   * @param address The address to listen on.
+   */
+  public void listen(InetSocketAddress address) {
+    loop().listen(address, this::accept);
+    loop().schedule(HOUSEKEEPING_MILLIS, this::keepHouse);
+  }
+
+  /**
+   * Checks if new sessions should come here.
+   *
+   * @return {@code true} if a desired state and a member are known and this process does not leave.
+   */
+  public boolean isReady() {
+    return serving && !draining;
+  }
+
+  /**
+   * Returns the number of open sessions.
+   *
+   * @return The number of sessions.
+   */
+  public int sessionCount() {
+    return sessionCount;
+  }
+
+  /** Takes this process out of rotation; may be called by any thread. */
+  public void startDraining() {
+    draining = true;
+  }
+
+  /**
+   * Closes sessions that are idle, and the others as soon as they are; may be called by any thread.
+   *
+   * @param part The part of the sessions to close, as a divisor of their number.
+   */
+  public void closeIdleSessions(int part) {
+    loop()
+        .submit(
+            () ->
+                List.copyOf(sessions).stream()
+                    .limit((sessions.size() + part - 1) / part)
+                    .forEach(CallerSession::closeWhenIdle));
+  }
+
+  @Override
+  public EventLoop loop() {
+    return context.loop();
+  }
+
+  @Override
+  public WireFormat format() {
+    return context.format();
+  }
+
+  @Override
+  public EventLog log() {
+    return context.log();
+  }
+
+  @Override
+  public Metrics metrics() {
+    return context.metrics();
+  }
+
+  @Override
+  public DesiredState desired() {
+    return desired;
+  }
+
+  @Override
+  public Optional<Database> database(DatabaseRoute route) {
+    return Optional.ofNullable(databases.get(route.pool()));
+  }
+
+  @Override
+  public void onSessionEnded(CallerSession session) {
+    sessions.remove(session);
+    sessionCount = sessions.size();
+  }
+
+  @Override
+  public void onDesiredState(DesiredState update) {
+    loop().submit(() -> adopt(update));
+  }
+
+  @Override
+  public void onMembers(List<MemberEntry> entries) {
+    loop().submit(() -> replaceMembers(entries));
+  }
+
+  @Override
+  public void onMember(MemberEntry entry) {
+    loop().submit(() -> putMember(entry));
+  }
+
+  @Override
+  public void onMemberRemoved(String id) {
+    loop().submit(() -> removeMemberLater(id));
+  }
+
+  /**
+   * Accepts a session.
+   *
+   * @param channel The channel.
+   */
+  private void accept(SocketChannel channel) {
+    CallerSession session = new CallerSession(this);
+    try {
+      if (sessions.size() >= sessionLimit) {
+        metrics().counter("sessions_refused", "reason", "limit").inc();
+        channel.close();
+        return;
+      }
+      Connection.Limits limits =
+          new Connection.Limits(format().longestMessage() + 2, CALLER_OUTPUT_BYTES);
+      session.attach(loop().adopt(channel, session, limits));
+      sessions.add(session);
+      sessionCount = sessions.size();
+    } catch (IOException exception) {
+      Logger.warn("a session ended while it was accepted: {}", exception.getMessage());
+    }
+  }
+
+  /**
+   * Adopts a desired state if it is newer.
+   *
+   * @param update The desired state.
+   */
+  private void adopt(DesiredState update) {
+    if (!update.isNewerThan(desired)) {
+      if (update.version() < desired.version()) {
+        log()
+            .event("desired-state-ignored")
+            .with("version", update.version())
+            .with("in-force", desired.version())
+            .write();
+      }
+      return;
+    }
+    log()
+        .event("desired-state-adopted")
+        .with("version", update.version())
+        .with("replaced", desired.version())
+        .with("routes", update.routes().size())
+        .write();
+    desired = update;
+    databases.forEach(this::limitConnections);
+    updateServing();
+  }
+
+  /**
+   * Replaces all members.
+   *
+   * @param entries The entries of all members.
+   */
+  private void replaceMembers(List<MemberEntry> entries) {
+    Set<String> present = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
+    entries.forEach(this::putMember);
+    Set.copyOf(members.keySet()).stream()
+        .filter(id -> !present.contains(id))
+        .forEach(this::removeMemberLater);
+  }
+
+  /**
+   * Takes a new or changed entry.
+   *
+   * @param entry The entry.
+   */
+  private void putMember(MemberEntry entry) {
+    MemberEntry known = members.get(entry.id());
+    ending.remove(entry.id());
+    if (known != null && known.revision() >= entry.revision()) {
+      return;
+    }
+    if (known != null && !known.pool().equals(entry.pool())) {
+      removeMember(entry.id());
+    }
+    members.put(entry.id(), entry);
+    log()
+        .event("member-entry")
+        .with("member", entry.id())
+        .with("pool", entry.pool())
+        .with("address", entry.address())
+        .with("domain", entry.domain())
+        .with("primary", entry.primary())
+        .with("draining", entry.draining())
+        .with("revision", entry.revision())
+        .write();
+    Database database =
+        databases.computeIfAbsent(
+            entry.pool(),
+            pool -> {
+              Database created = new Database(context);
+              limitConnections(pool, created);
+              return created;
+            });
+    database.put(entry);
+    updateServing();
+  }
+
+  /**
+   * Removes a member unless its entry is back in time.
+   *
+   * @param id The identifier of the member.
+   */
+  private void removeMemberLater(String id) {
+    if (members.containsKey(id) && ending.add(id)) {
+      loop()
+          .schedule(
+              REMOVAL_DELAY_MILLIS,
+              () -> {
+                if (ending.remove(id)) {
+                  removeMember(id);
+                }
+              });
+    }
+  }
+
+  /**
+   * Removes a member.
+   *
+   * @param id The identifier of the member.
+   */
+  private void removeMember(String id) {
+    MemberEntry gone = members.remove(id);
+    if (gone != null) {
+      log().event("member-gone").with("member", id).with("pool", gone.pool()).write();
+      Optional.ofNullable(databases.get(gone.pool())).ifPresent(database -> database.remove(id));
+    }
+  }
+
+  /**
+   * Applies the number of connections of a pool.
+   *
+   * @param pool The name of the pool.
+   * @param database The database.
+   */
+  private void limitConnections(String pool, Database database) {
+    Optional.ofNullable(desired.pools().get(pool))
+        .ifPresent(entry -> database.limitConnections(entry.connections()));
+  }
+
+  /** Finds out whether sessions can be served. */
+  private void updateServing() {
+    serving =
+        desired.version() > 0
+            && databases.values().stream()
+                .flatMap(database -> database.pools().stream())
+                .anyMatch(MemberPool::isReachable);
+  }
+
+  /** Closes idle connections and looks at the readiness again. */
+  private void keepHouse() {
+    databases.values().forEach(Database::closeIdle);
+    updateServing();
+    loop().schedule(HOUSEKEEPING_MILLIS, this::keepHouse);
+  }
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/journal/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines that never block the data duty. */
+package org.hickoryshed.session.journal;
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -0,0 +1,249 @@
+package org.hickoryshed.session.member;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.freshness.FloorHistory;
+import org.hickoryshed.decision.freshness.Moment;
+import org.hickoryshed.decision.topology.LogPosition;
+
+/** What this process knows of one database: its members, its primary and its floors. */
+public final class Database {
+
+  /** The connections of a member before the desired state is known. */
+  private static final int DEFAULT_CONNECTIONS = 8;
+
+  /** The time that a member that lost the lead is not tried as primary, in milliseconds. */
+  private static final long LOST_LEAD_MILLIS = 300;
+
+  /** What a crossing between regions adds to the estimate of a member, in nanoseconds. */
+  private static final double FAR_PENALTY_NANOS = 20e6;
+
+  /** What a crossing between failure domains adds to the estimate of a member, in nanoseconds. */
+  private static final double NEAR_PENALTY_NANOS = 3e6;
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  /** What all pools share. */
+  private final MemberContext context;
+
+  /** The members by their identifiers. */
+  private final Map<String, Member> members = new LinkedHashMap<>();
+
+  /** The recent floors. */
+  private final FloorHistory floors = new FloorHistory();
+
+  /** The highest number of connections to one member. */
+  private int connectionLimit = DEFAULT_CONNECTIONS;
+
+  /**
+   * Creates a database without members.
+   *
+   * @param context What all pools share.
+   */
+  public Database(MemberContext context) {
+    this.context = context;
+  }
+
+  /**
+   * Returns the recent floors.
+   *
+   * @return The floors.
+   */
+  public FloorHistory floors() {
+    return floors;
+  }
+
+  /**
+   * Returns the highest number of connections to one member from all proxies.
+   *
+   * @return The number of connections.
+   */
+  int connectionLimit() {
+    return connectionLimit;
+  }
+
+  /**
+   * Takes the highest number of connections to one member from all proxies.
+   *
+   * @param limit The number of connections.
+   */
+  public void limitConnections(int limit) {
+    connectionLimit = limit;
+  }
+
+  /**
+   * Takes a new or changed entry of a member.
+   *
+   * @param entry The entry.
+   */
+  public void put(MemberEntry entry) {
+    Member known = members.get(entry.id());
+    if (known != null && known.pool.entry().isSameRun(entry)) {
+      if (entry.primary() && !known.pool.entry().primary()) {
+        known.claimRevision = entry.revision();
+        known.lostLeadUntil = context.loop().now();
+      }
+      known.pool.update(entry);
+      return;
+    }
+    if (known != null) {
+      known.pool.retire();
+    }
+    Member added = new Member(new MemberPool(context, this, entry), entry.revision());
+    added.lostLeadUntil = context.loop().now();
+    members.put(entry.id(), added);
+    added.pool.warm();
+  }
+
+  /**
+   * Removes a member.
+   *
+   * @param id The identifier of the member.
+   */
+  public void remove(String id) {
+    Member known = members.remove(id);
+    if (known != null) {
+      known.pool.retire();
+    }
+  }
+
+  /**
+   * Returns the pools of all members.
+   *
+   * @return The pools.
+   */
+  public Collection<MemberPool> pools() {
+    return members.values().stream().map(member -> member.pool).toList();
+  }
+
+  /**
+   * Finds the member that leads as far as it is known.
+   *
+   * @return The pool of the primary or an empty optional if no member is known to lead.
+   */
+  public Optional<MemberPool> primary() {
+    long now = context.loop().now();
+    return members.values().stream()
+        .filter(member -> member.pool.entry().primary())
+        .filter(member -> member.lostLeadUntil - now <= 0)
+        .max(Comparator.comparingLong(member -> member.claimRevision))
+        .map(member -> member.pool);
+  }
+
+  /**
+   * Finds the member that is to answer a read that any fresh log may answer.
+   *
+   * @param excluded The identifiers of members that are not to be used.
+   * @return The pool of the member or an empty optional if none is usable.
+   */
+  public Optional<MemberPool> reader(Set<String> excluded) {
+    return members.values().stream()
+        .map(member -> member.pool)
+        .filter(pool -> pool.isUsable() && !pool.isBehind())
+        .filter(pool -> !excluded.contains(pool.entry().id()))
+        .min(Comparator.comparingDouble(this::estimate));
+  }
+
+  /**
+   * Notes that a member answered that it does not lead.
+   *
+   * @param pool The pool of the member.
+   */
+  public void noteLostLead(MemberPool pool) {
+    Member member = members.get(pool.entry().id());
+    if (member != null && member.pool == pool) {
+      member.lostLeadUntil = context.loop().now() + LOST_LEAD_MILLIS * NANOS_IN_MILLI;
+      context
+          .log()
+          .event("member-lost-lead")
+          .with("member", pool.entry().id())
+          .with("pool", pool.entry().pool())
+          .write();
+    }
+  }
+
+  /**
+   * Adds a floor from an answer that proves the lead of a member.
+   *
+   * @param asked The moment at which the statement was sent.
+   * @param position The position of the member's log.
+   */
+  public void addFloor(Moment asked, LogPosition position) {
+    floors.add(asked, position);
+  }
+
+  /** Closes idle connections that are not needed. */
+  public void closeIdle() {
+    members.values().forEach(member -> member.pool.closeIdle());
+  }
+
+  /**
+   * Handles a member that was reached again.
+   *
+   * @param pool The pool of the member.
+   */
+  void onReachable(MemberPool pool) {
+    context
+        .log()
+        .event("member-reachable")
+        .with("member", pool.entry().id())
+        .with("pool", pool.entry().pool())
+        .write();
+  }
+
+  /**
+   * Handles a member that can't be reached.
+   *
+   * @param pool The pool of the member.
+   */
+  void onUnreachable(MemberPool pool) {
+    context.metrics().counter("member_unreachable", "pool", pool.entry().pool()).inc();
+  }
+
+  /**
+   * Estimates the cost of a statement at a member.
+   *
+   * @param pool The pool of the member.
+   * @return The cost in nanoseconds, with a penalty for the distance.
+   */
+  private double estimate(MemberPool pool) {
+    String domain = pool.entry().domain();
+    double penalty = 0;
+    if (!context.isSameRegion(domain)) {
+      penalty = FAR_PENALTY_NANOS;
+    } else if (!domain.equals(context.domain())) {
+      penalty = NEAR_PENALTY_NANOS;
+    }
+    return pool.expectedNanos() + penalty;
+  }
+
+  /** A member and what is known of its lead. */
+  private static final class Member {
+
+    /** The connections to the member. */
+    private final MemberPool pool;
+
+    /** The revision of the entry in which the member first claimed the lead. */
+    private long claimRevision;
+
+    /** The reading of the steady clock until which the member is not tried as primary. */
+    private long lostLeadUntil;
+
+    /**
+     * Creates a new member.
+     *
+     * @param pool The connections to the member.
+     * @param claimRevision The revision of the entry.
+     */
+    private Member(MemberPool pool, long claimRevision) {
+      this.pool = pool;
+      this.claimRevision = claimRevision;
+    }
+  }
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -0,0 +1,487 @@
+package org.hickoryshed.session.member;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.hickoryshed.decision.freshness.Moment;
+import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.decision.statement.Statement;
+import org.hickoryshed.decision.statement.TransactionState;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.net.Connection;
+import org.hickoryshed.session.net.EventLoop;
+import org.hickoryshed.session.wire.MemberMessage;
+import org.hickoryshed.session.wire.WireFormat;
+
+/**
+ * A connection to a member, used by one session at a time.
+ *
+ * <p>Statements may be sent behind each other; the member answers them in order.
+ */
+public final class MemberConnection implements Connection.Handler {
+
+  /** The number of prepared statements after which the connection is reset. */
+  private static final int PREPARED_LIMIT = 256;
+
+  /** The highest number of bytes of the rows of one answer. */
+  private static final int ANSWER_LIMIT = 8 * 1024 * 1024;
+
+  /** The time that a released connection has to answer what was sent, in milliseconds. */
+  private static final long RELEASE_TIMEOUT_MILLIS = 1500;
+
+  /** The pool that owns this connection. */
+  private final MemberPool pool;
+
+  /** The format of the messages. */
+  private final WireFormat format;
+
+  /** The loop that owns the connection. */
+  private final EventLoop loop;
+
+  /** The exchanges whose answers are outstanding, in the order in which they were sent. */
+  private final Deque<Exchange> exchanges = new ArrayDeque<>();
+
+  /** The session values that the member holds. */
+  private final Map<String, String> values = new HashMap<>();
+
+  /** The names of the prepared statements that the member holds. */
+  private final Set<String> prepared = new HashSet<>();
+
+  /** The underlying connection. */
+  private Connection connection;
+
+  /** The state of the session at the member, as of its last answer. */
+  private TransactionState state = TransactionState.IDLE;
+
+  /** True since a transaction was begun and until the connection is given back. */
+  private boolean transactionBegun;
+
+  /**
+   * True if values or prepared statements were sent inside a transaction, whose end may or may not
+   * have taken them back.
+   */
+  private boolean stateUncertain;
+
+  /** True once the member took the session. */
+  private boolean opened;
+
+  /** True while the connection belongs to a session. */
+  private boolean leased;
+
+  /** Closes the connection if a released one does not answer in time. */
+  private Optional<EventLoop.Timer> releaseTimer = Optional.empty();
+
+  /** The reading of the steady clock when the connection was last released. */
+  private long idleSince;
+
+  /**
+   * Creates a new connection.
+   *
+   * @param pool The pool that owns the connection.
+   * @param loop The loop that owns the connection.
+   * @param format The format of the messages.
+   */
+  MemberConnection(MemberPool pool, EventLoop loop, WireFormat format) {
+    this.pool = pool;
+    this.loop = loop;
+    this.format = format;
+  }
+
+  /**
+   * Takes the underlying connection and asks the member for a session.
+   *
+   * @param established The underlying connection.
+   * @param proxy The name of this proxy.
+   */
+  void open(Connection established, String proxy) {
+    connection = established;
+    format.open(connection.output(), pool.entry().pool(), proxy, pool.entry().id());
+  }
+
+  /**
+   * Returns the pool of this connection.
+   *
+   * @return The pool.
+   */
+  public MemberPool pool() {
+    return pool;
+  }
+
+  /**
+   * Returns the time since which this connection is idle.
+   *
+   * @return The reading of the steady clock in nanoseconds.
+   */
+  long idleSince() {
+    return idleSince;
+  }
+
+  /**
+   * Checks if the member took the session.
+   *
+   * @return {@code true} once the connection can be used.
+   */
+  boolean isOpened() {
+    return opened;
+  }
+
+  /**
+   * Checks if the member holds the values of a session.
+   *
+   * @param session The session.
+   * @return {@code true} if no value has to be sent.
+   */
+  boolean holdsValuesOf(SessionState session) {
+    return values.equals(session.values());
+  }
+
+  /**
+   * Checks if this connection has ended.
+   *
+   * @return {@code true} if nothing can be sent any more.
+   */
+  public boolean isClosed() {
+    return connection.isClosed();
+  }
+
+  /** Marks this connection as used by a session. */
+  void lease() {
+    leased = true;
+  }
+
+  /**
+   * Brings the member's session to the state that a caller's session relies on.
+   *
+   * <p>Values that another session left behind are cleared, which is possible only outside a
+   * transaction.
+   *
+   * @param session The caller's session.
+   */
+  public void adopt(SessionState session) {
+    if (state == TransactionState.IDLE && exchanges.isEmpty() && mustReset(session)) {
+      format.reset(connection.output());
+      expect(ignored -> {}, true);
+      values.clear();
+      prepared.clear();
+      stateUncertain = false;
+    }
+    session
+        .values()
+        .forEach(
+            (name, value) -> {
+              if (!value.equals(values.get(name))) {
+                sendOwn(Optional.empty(), new Statement.SetValue(name, value), ignored -> {}, true);
+                values.put(name, value);
+                stateUncertain |= transactionBegun;
+              }
+            });
+  }
+
+  /**
+   * Checks if the member's session has to be cleared for another session.
+   *
+   * @param session The caller's session.
+   * @return {@code true} if it holds too much or what it holds is not known.
+   */
+  private boolean mustReset(SessionState session) {
+    return stateUncertain
+        || prepared.size() > PREPARED_LIMIT
+        || !session.values().keySet().containsAll(values.keySet());
+  }
+
+  /**
+   * Makes sure that the member knows a prepared statement.
+   *
+   * @param shape What is prepared.
+   * @return The name of the prepared statement at the member.
+   */
+  public String prepare(Statement.Shape shape) {
+    String name = pool.preparedName(shape);
+    if (prepared.add(name)) {
+      sendOwn(Optional.empty(), new Statement.Prepare(name, shape), ignored -> {}, true);
+      stateUncertain |= transactionBegun;
+    }
+    return name;
+  }
+
+  /**
+   * Begins a transaction.
+   *
+   * @param readOnly True if the transaction only reads.
+   * @param required The position that the member's log must hold, if any.
+   * @param receiver The receiver of the answer.
+   */
+  public void begin(
+      boolean readOnly, Optional<LogPosition> required, Consumer<MemberAnswer> receiver) {
+    sendOwn(required, new Statement.Begin(readOnly), receiver, false);
+    transactionBegun = true;
+  }
+
+  /**
+   * Passes a statement of a caller on.
+   *
+   * @param id The identifier that the caller gave to the statement.
+   * @param required The position that the member's log must hold, if any.
+   * @param text The text of the statement.
+   * @param receiver The receiver of the answer.
+   */
+  public void forward(
+      String id, Optional<LogPosition> required, String text, Consumer<MemberAnswer> receiver) {
+    format.forward(connection.output(), id, required, text);
+    expect(receiver, false);
+  }
+
+  /** Rolls the transaction back. */
+  public void rollback() {
+    sendOwn(Optional.empty(), new Statement.Rollback(), ignored -> {}, true);
+  }
+
+  /**
+   * Gives this connection back; an open transaction is rolled back.
+   *
+   * <p>Outstanding answers are awaited and dropped before the connection is used again.
+   */
+  public void release() {
+    if (connection.isClosed() || !leased) {
+      return;
+    }
+    leased = false;
+    transactionBegun = false;
+    idleSince = loop.now();
+    if (exchanges.isEmpty()) {
+      finishRelease();
+    } else {
+      releaseTimer =
+          Optional.of(
+              loop.schedule(RELEASE_TIMEOUT_MILLIS, () -> abort("no answer after its release")));
+    }
+  }
+
+  /**
+   * Closes this connection, which rolls an open transaction back.
+   *
+   * @param reason Why it is closed.
+   */
+  public void abort(String reason) {
+    if (!connection.isClosed()) {
+      connection.close();
+      onClosed(reason);
+    }
+  }
+
+  @Override
+  public void onConnected() {
+    // The request for a session is already in the output.
+  }
+
+  @Override
+  public void onInput(ByteBuffer input) {
+    for (Optional<MemberMessage> next = format.nextOfMember(input);
+        next.isPresent() && !connection.isClosed();
+        next = format.nextOfMember(input)) {
+      onMessage(next.get());
+    }
+  }
+
+  @Override
+  public void onClosed(String reason) {
+    releaseTimer.ifPresent(EventLoop.Timer::cancel);
+    pool.onConnectionClosed(this, opened, reason);
+    for (Exchange next = exchanges.poll(); next != null; next = exchanges.poll()) {
+      next.deliverOnClose(reason);
+    }
+  }
+
+  /**
+   * Handles a message.
+   *
+   * @param message The message.
+   */
+  private void onMessage(MemberMessage message) {
+    Exchange current = exchanges.peek();
+    switch (message) {
+      case MemberMessage.Ready ready -> onMemberReady(ready);
+      case MemberMessage.Failure failure when !opened ->
+          refuseOpening(failure.kind(), failure.text());
+      case MemberMessage.Row row when current != null && current.end == null -> {
+        current.addRow(row.data());
+        if (current.rowBytes > ANSWER_LIMIT) {
+          abort("an answer is too large");
+        }
+      }
+      case MemberMessage.Done done when current != null && current.end == null ->
+          current.end = done;
+      case MemberMessage.Failure failure when current != null && current.end == null ->
+          current.end = failure;
+      default -> abort("the member sent an unexpected message");
+    }
+  }
+
+  /**
+   * Handles the refusal of a new session.
+   *
+   * @param kind How it was refused.
+   * @param text The text of the member.
+   */
+  private void refuseOpening(FailureKind kind, String text) {
+    pool.onOpeningRefused(kind, text);
+    abort("refused: " + kind);
+  }
+
+  /**
+   * Handles the readiness of the member, which completes the current answer.
+   *
+   * @param ready The readiness.
+   */
+  private void onMemberReady(MemberMessage.Ready ready) {
+    ready.position().ifPresent(position -> pool.onPosition(position));
+    state = ready.state();
+    if (!opened) {
+      opened = true;
+      idleSince = loop.now();
+      pool.onOpened(this);
+      return;
+    }
+    Exchange current = exchanges.peek();
+    if (current == null || current.end == null) {
+      abort("the member ended an answer without its outcome");
+      return;
+    }
+    exchanges.poll();
+    pool.onAnswer(loop.now() - current.asked.steadyNanos());
+    if (current.mustSucceed && current.end instanceof MemberMessage.Failure) {
+      abort("the member refused the state of a session");
+      return;
+    }
+    current.deliver(ready.state(), ready.position());
+    if (!leased && exchanges.isEmpty() && !connection.isClosed()) {
+      finishRelease();
+    }
+  }
+
+  /** Rolls an open transaction back or makes this connection available. */
+  private void finishRelease() {
+    if (state != TransactionState.IDLE) {
+      rollback();
+      return;
+    }
+    releaseTimer.ifPresent(EventLoop.Timer::cancel);
+    releaseTimer = Optional.empty();
+    pool.onReleased(this);
+  }
+
+  /**
+   * Sends a statement of this proxy.
+   *
+   * @param required The position that the member's log must hold, if any.
+   * @param statement The statement.
+   * @param receiver The receiver of the answer.
+   * @param mustSucceed True if the connection is useless when the statement fails.
+   */
+  private void sendOwn(
+      Optional<LogPosition> required,
+      Statement statement,
+      Consumer<MemberAnswer> receiver,
+      boolean mustSucceed) {
+    format.own(connection.output(), required, statement);
+    expect(receiver, mustSucceed);
+  }
+
+  /**
+   * Expects the answer to what was sent last.
+   *
+   * @param receiver The receiver of the answer.
+   * @param mustSucceed True if the connection is useless when the statement fails.
+   */
+  private void expect(Consumer<MemberAnswer> receiver, boolean mustSucceed) {
+    exchanges.add(new Exchange(loop.moment(), receiver, mustSucceed));
+  }
+
+  /** A statement that was sent and its answer as far as it has arrived. */
+  private static final class Exchange {
+
+    /** The moment at which the statement was sent. */
+    private final Moment asked;
+
+    /** The receiver of the answer. */
+    private final Consumer<MemberAnswer> receiver;
+
+    /** True if the connection is useless when the statement fails. */
+    private final boolean mustSucceed;
+
+    /** The rows that have arrived. */
+    private final List<String> rows = new ArrayList<>(1);
+
+    /** The number of bytes of these rows. */
+    private long rowBytes;
+
+    /** The outcome, or {@code null} while it has not arrived. */
+    private MemberMessage end;
+
+    /**
+     * Creates a new exchange.
+     *
+     * @param asked The moment at which the statement was sent.
+     * @param receiver The receiver of the answer.
+     * @param mustSucceed True if the connection is useless when the statement fails.
+     */
+    private Exchange(Moment asked, Consumer<MemberAnswer> receiver, boolean mustSucceed) {
+      this.asked = asked;
+      this.receiver = receiver;
+      this.mustSucceed = mustSucceed;
+    }
+
+    /**
+     * Adds a row.
+     *
+     * @param data The data of the row.
+     */
+    private void addRow(String data) {
+      rows.add(data);
+      rowBytes += data.length();
+    }
+
+    /**
+     * Delivers the complete answer.
+     *
+     * @param state The state of the session at the member.
+     * @param position The position of the member's log, if it stated one.
+     */
+    private void deliver(TransactionState state, Optional<LogPosition> position) {
+      receiver.accept(
+          switch (end) {
+            case MemberMessage.Done done ->
+                new MemberAnswer.Done(rows, done.proof(), state, position, asked);
+            case MemberMessage.Failure failure ->
+                new MemberAnswer.Failed(failure.kind(), failure.text(), state);
+            default -> throw new IllegalStateException("an answer without an outcome");
+          });
+    }
+
+    /**
+     * Delivers what is known when the connection ends.
+     *
+     * @param reason What happened to the connection.
+     */
+    private void deliverOnClose(String reason) {
+      if (end instanceof MemberMessage.Done done) {
+        receiver.accept(
+            new MemberAnswer.Done(
+                rows, done.proof(), TransactionState.FAILED, Optional.empty(), asked));
+      } else if (end instanceof MemberMessage.Failure failure) {
+        receiver.accept(
+            new MemberAnswer.Failed(failure.kind(), failure.text(), TransactionState.FAILED));
+      } else {
+        receiver.accept(new MemberAnswer.Lost(reason));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -0,0 +1,517 @@
+package org.hickoryshed.session.member;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.decision.statement.Statement;
+import org.hickoryshed.decision.topology.LogPosition;
+
+/** The connections to one member and the statements that wait for one. */
+public final class MemberPool {
+
+  /** The time in which a new connection must be ready, in milliseconds. */
+  private static final long OPEN_TIMEOUT_MILLIS = 700;
+
+  /** The pause after a refusal for the number of connections, in milliseconds. */
+  private static final long REFUSED_PAUSE_MILLIS = 60;
+
+  /** The first pause before a member that failed is tried again, in milliseconds. */
+  private static final long FIRST_RETRY_MILLIS = 100;
+
+  /** The longest pause before a member that failed is tried again, in milliseconds. */
+  private static final long LONGEST_RETRY_MILLIS = 1000;
+
+  /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
+  private static final long IDLE_MILLIS = 4000;
+
+  /** The part of the member's connections that this proxy takes at most, as a divisor. */
+  private static final int SHARE_DIVISOR = 2;
+
+  /** The weight of a new sample in the mean time of an answer. */
+  private static final double SAMPLE_WEIGHT = 0.1;
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  /** What all pools share. */
+  private final MemberContext context;
+
+  /** The database that the member belongs to. */
+  private final Database database;
+
+  /** All connections, those that are being opened too. */
+  private final List<MemberConnection> connections = new ArrayList<>();
+
+  /** The connections that can be leased. */
+  private final List<MemberConnection> idle = new ArrayList<>();
+
+  /** The statements that wait for a connection. */
+  private final PriorityQueue<Ticket> waiting =
+      new PriorityQueue<>(
+          Comparator.comparingInt((Ticket ticket) -> ticket.borrower.priority())
+              .thenComparingLong(ticket -> ticket.number));
+
+  /** The entry of the member. */
+  private MemberEntry entry;
+
+  /** The number of connections that are being opened. */
+  private int opening;
+
+  /** The number of the next ticket. */
+  private long nextTicket;
+
+  /** The mean time between a statement and its answer, in nanoseconds. */
+  private double meanAnswerNanos;
+
+  /** The last position of the member's log that it stated. */
+  private LogPosition position = LogPosition.ORIGIN;
+
+  /** False after a failure, until a connection is opened again. */
+  private boolean reachable = true;
+
+  /** The pause before the next attempt to reach a member that failed, in milliseconds. */
+  private long retryMillis = FIRST_RETRY_MILLIS;
+
+  /** The reading of the steady clock until which no connection is opened. */
+  private long refusedUntil;
+
+  /** The reading of the steady clock until which the member is taken to be behind. */
+  private long behindUntil;
+
+  /** The reading of the steady clock when the member last answered. */
+  private long lastAnswer;
+
+  /** True once the member is no longer used. */
+  private boolean retired;
+
+  /**
+   * Creates a new pool.
+   *
+   * @param context What all pools share.
+   * @param database The database that the member belongs to.
+   * @param entry The entry of the member.
+   */
+  MemberPool(MemberContext context, Database database, MemberEntry entry) {
+    this.context = context;
+    this.database = database;
+    this.entry = entry;
+    meanAnswerNanos = context.distanceMillis(entry.domain()) * 2 * NANOS_IN_MILLI;
+    refusedUntil = context.loop().now();
+    behindUntil = refusedUntil;
+    lastAnswer = refusedUntil;
+  }
+
+  /**
+   * Returns the entry of the member.
+   *
+   * @return The entry.
+   */
+  public MemberEntry entry() {
+    return entry;
+  }
+
+  /**
+   * Takes a changed entry of the same run of the member.
+   *
+   * @param changed The changed entry.
+   */
+  void update(MemberEntry changed) {
+    entry = changed;
+  }
+
+  /** Opens a first connection so that the first statement does not wait for it. */
+  void warm() {
+    if (connections.isEmpty()) {
+      openConnection();
+    }
+  }
+
+  /**
+   * Checks if statements may be sent to the member.
+   *
+   * @return {@code true} if the member is reachable and does not leave.
+   */
+  public boolean isUsable() {
+    return reachable && !retired && !entry.draining();
+  }
+
+  /**
+   * Checks if the member answered when it was last asked.
+   *
+   * @return {@code true} if the member is reachable.
+   */
+  public boolean isReachable() {
+    return reachable;
+  }
+
+  /**
+   * Checks if the member recently lacked a position that was asked for.
+   *
+   * @return {@code true} if another member is to be preferred.
+   */
+  boolean isBehind() {
+    return behindUntil - context.loop().now() > 0;
+  }
+
+  /**
+   * Notes that the member lacked a required position.
+   *
+   * @param pauseMillis The time for which other members are preferred, in milliseconds.
+   */
+  public void noteBehind(long pauseMillis) {
+    behindUntil = context.loop().now() + pauseMillis * NANOS_IN_MILLI;
+  }
+
+  /**
+   * Returns the last position that the member stated.
+   *
+   * @return The position.
+   */
+  public LogPosition position() {
+    return position;
+  }
+
+  /**
+   * Estimates the time that a statement takes at this member.
+   *
+   * @return The time in nanoseconds.
+   */
+  double expectedNanos() {
+    int busy = connections.size() - idle.size() - opening + waiting.size();
+    return meanAnswerNanos * (1 + busy / (double) Math.max(1, entry.slots()));
+  }
+
+  /**
+   * Lends a connection now or later.
+   *
+   * @param borrower The statement that needs a connection.
+   */
+  public void borrow(Borrower borrower) {
+    MemberConnection found = takeIdle(borrower.session());
+    if (found != null) {
+      lend(found, borrower);
+      return;
+    }
+    waiting.add(new Ticket(borrower, nextTicket++));
+    openIfNeeded();
+  }
+
+  /**
+   * Takes a statement out of the queue.
+   *
+   * @param borrower The statement.
+   */
+  public void cancel(Borrower borrower) {
+    waiting.removeIf(ticket -> ticket.borrower == borrower);
+  }
+
+  /**
+   * Notes that a statement was not answered in time.
+   *
+   * <p>If the member answered nothing else since, others are used until it takes a connection.
+   *
+   * @param since The reading of the steady clock when the attempt began, in nanoseconds.
+   */
+  public void noteTimeout(long since) {
+    if (lastAnswer - since < 0) {
+      markUnreachable("no answer in time");
+    }
+  }
+
+  /** Closes idle connections that are not needed. */
+  void closeIdle() {
+    long now = context.loop().now();
+    for (MemberConnection connection : List.copyOf(idle)) {
+      if (connections.size() > context.keptConnections()
+          && now - connection.idleSince() > IDLE_MILLIS * NANOS_IN_MILLI) {
+        connection.abort("idle");
+      }
+    }
+  }
+
+  /** Ends the use of the member; leased connections go on until they are released. */
+  void retire() {
+    retired = true;
+    List.copyOf(idle).forEach(connection -> connection.abort("the member is gone"));
+    failWaiting();
+  }
+
+  /**
+   * Returns the number of connections.
+   *
+   * @return The number of connections, those that are being opened too.
+   */
+  public int connectionCount() {
+    return connections.size();
+  }
+
+  /**
+   * Returns the name of a prepared statement at every member.
+   *
+   * @param shape What is prepared.
+   * @return The name.
+   */
+  String preparedName(Statement.Shape shape) {
+    return context.preparedNames().of(shape);
+  }
+
+  /**
+   * Handles a connection that the member took.
+   *
+   * @param connection The connection.
+   */
+  void onOpened(MemberConnection connection) {
+    opening--;
+    retryMillis = FIRST_RETRY_MILLIS;
+    if (!reachable) {
+      reachable = true;
+      database.onReachable(this);
+    }
+    onReleased(connection);
+  }
+
+  /**
+   * Handles the refusal of a new connection.
+   *
+   * @param kind How it was refused.
+   * @param text The text of the member.
+   */
+  void onOpeningRefused(FailureKind kind, String text) {
+    refusedUntil = context.loop().now() + REFUSED_PAUSE_MILLIS * NANOS_IN_MILLI;
+    context.metrics().counter("member_refusals", "kind", kind.name()).inc();
+    if (kind == FailureKind.WRONG_MEMBER) {
+      markUnreachable("another member at this address: " + text);
+    } else {
+      context.loop().schedule(REFUSED_PAUSE_MILLIS, this::openIfNeeded);
+    }
+  }
+
+  /**
+   * Handles the end of a connection.
+   *
+   * @param connection The connection.
+   * @param opened True if the member had taken it.
+   * @param reason What happened.
+   */
+  void onConnectionClosed(MemberConnection connection, boolean opened, String reason) {
+    connections.remove(connection);
+    idle.remove(connection);
+    if (!opened) {
+      opening--;
+      if (!reason.startsWith("refused")) {
+        markUnreachable(reason);
+      }
+    }
+    if (!retired && reachable) {
+      openIfNeeded();
+    }
+  }
+
+  /**
+   * Handles a connection that is free.
+   *
+   * @param connection The connection.
+   */
+  void onReleased(MemberConnection connection) {
+    if (retired) {
+      connection.abort("the member is gone");
+      return;
+    }
+    Ticket next = waiting.poll();
+    if (next != null) {
+      lend(connection, next.borrower);
+    } else {
+      idle.add(connection);
+    }
+  }
+
+  /**
+   * Handles a position that the member stated.
+   *
+   * @param stated The position.
+   */
+  void onPosition(LogPosition stated) {
+    position = stated;
+    database.floors().observeTerm(stated.term());
+  }
+
+  /**
+   * Handles the time that an answer took.
+   *
+   * @param nanos The time in nanoseconds.
+   */
+  void onAnswer(long nanos) {
+    lastAnswer = context.loop().now();
+    meanAnswerNanos += SAMPLE_WEIGHT * (nanos - meanAnswerNanos);
+  }
+
+  /**
+   * Lends a connection.
+   *
+   * @param connection The connection.
+   * @param borrower The statement that needs it.
+   */
+  private static void lend(MemberConnection connection, Borrower borrower) {
+    connection.lease();
+    borrower.onConnection(connection);
+  }
+
+  /**
+   * Takes an idle connection, preferably one that holds the values of the session.
+   *
+   * @param session The session.
+   * @return The connection or {@code null} if none is idle.
+   */
+  private MemberConnection takeIdle(SessionState session) {
+    for (int index = idle.size() - 1; index >= 0; index--) {
+      if (idle.get(index).holdsValuesOf(session)) {
+        return idle.remove(index);
+      }
+    }
+    return idle.isEmpty() ? null : idle.remove(idle.size() - 1);
+  }
+
+  /** Opens connections while statements wait for more than are being opened. */
+  private void openIfNeeded() {
+    while (!retired
+        && reachable
+        && waiting.size() > opening
+        && connections.size() < share()
+        && context.loop().now() - refusedUntil >= 0) {
+      if (!openConnection()) {
+        return;
+      }
+    }
+  }
+
+  /**
+   * Returns the number of connections that this proxy may hold.
+   *
+   * @return The number of connections.
+   */
+  private int share() {
+    return Math.max(context.keptConnections(), database.connectionLimit() / SHARE_DIVISOR);
+  }
+
+  /**
+   * Opens a connection.
+   *
+   * @return {@code false} if it failed at once.
+   */
+  private boolean openConnection() {
+    MemberConnection connection = new MemberConnection(this, context.loop(), context.format());
+    connections.add(connection);
+    opening++;
+    context.metrics().counter("member_connections", "domain", entry.domain()).inc();
+    try {
+      connection.open(
+          context.loop().connect(address(), connection, context.memberLimits()),
+          context.processName());
+    } catch (IOException exception) {
+      onConnectionClosed(connection, false, String.valueOf(exception.getMessage()));
+      return false;
+    }
+    context
+        .loop()
+        .schedule(
+            OPEN_TIMEOUT_MILLIS,
+            () -> {
+              if (!connection.isOpened()) {
+                connection.abort("not ready in time");
+              }
+            });
+    return true;
+  }
+
+  /**
+   * Returns the address of the member.
+   *
+   * @return The address.
+   */
+  private InetSocketAddress address() {
+    int colon = entry.address().lastIndexOf(':');
+    return new InetSocketAddress(
+        entry.address().substring(0, colon),
+        Integer.parseInt(entry.address().substring(colon + 1)));
+  }
+
+  /**
+   * Stops sending statements to the member until it takes a connection.
+   *
+   * @param reason What happened.
+   */
+  private void markUnreachable(String reason) {
+    if (retired) {
+      return;
+    }
+    if (reachable) {
+      reachable = false;
+      context
+          .log()
+          .event("member-unreachable")
+          .with("member", entry.id())
+          .with("pool", entry.pool())
+          .with("reason", reason)
+          .write();
+      database.onUnreachable(this);
+      failWaiting();
+    }
+    context.loop().schedule(retryMillis, this::tryAgain);
+    retryMillis = Math.min(retryMillis * 2, LONGEST_RETRY_MILLIS);
+  }
+
+  /** Tries to reach a member that failed. */
+  private void tryAgain() {
+    if (!retired && !reachable && opening == 0) {
+      openConnection();
+    }
+  }
+
+  /** Tells the waiting statements to look for another member. */
+  private void failWaiting() {
+    List<Ticket> failed = List.copyOf(waiting);
+    waiting.clear();
+    failed.forEach(ticket -> ticket.borrower.onUnavailable());
+  }
+
+  /** A statement that needs a connection. */
+  public interface Borrower {
+
+    /**
+     * Returns the priority of the statement.
+     *
+     * @return The priority, zero is the highest.
+     */
+    int priority();
+
+    /**
+     * Returns the state of the session that the statement belongs to.
+     *
+     * @return The state of the session.
+     */
+    SessionState session();
+
+    /**
+     * Takes a connection.
+     *
+     * @param connection The connection.
+     */
+    void onConnection(MemberConnection connection);
+
+    /** Handles that the member can't be reached. */
+    void onUnavailable();
+  }
+
+  /**
+   * A place in the queue.
+   *
+   * @param borrower The statement that waits.
+   * @param number The number of the ticket, which rises.
+   */
+  private record Ticket(Borrower borrower, long number) {}
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/package-info.java
@@ -0,0 +1,2 @@
+/** The server of statement sessions. */
+package org.hickoryshed.session;
