Return a member connection to its pool once

Cause: when a release ran inside the delivery of an answer and nobody waited, the connection was added to the idle ones twice, and two sessions shared it. A unit test follows with the pool's fakes.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -61,6 +61,9 @@
   /** The state of the session at the member, as of its last answer. */
   private TransactionState state = TransactionState.IDLE;
 
+  /** True while a released connection waits for outstanding answers. */
+  private boolean releasing;
+
   /** True since a transaction was begun and until the connection is given back. */
   private boolean transactionBegun;
 
@@ -254,6 +257,7 @@
       return;
     }
     leased = false;
+    releasing = true;
     transactionBegun = false;
     idleSince = loop.now();
     if (exchanges.isEmpty()) {
@@ -362,7 +366,7 @@
       return;
     }
     current.deliver(ready.state(), ready.position());
-    if (!leased && exchanges.isEmpty() && !connection.isClosed()) {
+    if (releasing && exchanges.isEmpty() && !connection.isClosed()) {
       finishRelease();
     }
   }
@@ -375,6 +379,7 @@
     }
     releaseTimer.ifPresent(EventLoop.Timer::cancel);
     releaseTimer = Optional.empty();
+    releasing = false;
     pool.onReleased(this);
   }
 
