--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
@@ -57,6 +58,9 @@
   /** The open sessions. */
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
 
+  /** The receiver of the pool whose primary is in doubt, and of the reason. */
+  private BiConsumer<String, String> doubts = (pool, reason) -> {};
+
   /** The desired state in force. */
   private volatile DesiredState desired = DesiredState.NONE;
 
@@ -93,6 +97,34 @@
     loop().schedule(HOUSEKEEPING_MILLIS, this::keepHouse);
   }
 
+  /**
+   * Takes the receiver of doubts about primaries, before the loop is started.
+   *
+   * @param receiver The receiver of the pool whose primary is in doubt, and of the reason.
+   */
+  public void onDoubts(BiConsumer<String, String> receiver) {
+    doubts = receiver;
+  }
+
+  /**
+   * Finds the database of a pool.
+   *
+   * @param pool The name of the pool.
+   * @return The database or an empty optional if the pool has no members.
+   */
+  public Optional<Database> database(String pool) {
+    return Optional.ofNullable(databases.get(pool));
+  }
+
+  /**
+   * Returns the names of the pools that have members.
+   *
+   * @return The names.
+   */
+  public List<String> pools() {
+    return List.copyOf(databases.keySet());
+  }
+
   /**
    * Checks if new sessions should come here.
    *
@@ -157,7 +189,7 @@
 
   @Override
   public Optional<Database> database(DatabaseRoute route) {
-    return Optional.ofNullable(databases.get(route.pool()));
+    return database(route.pool());
   }
 
   @Override
@@ -278,7 +310,8 @@
         databases.computeIfAbsent(
             entry.pool(),
             pool -> {
-              Database created = new Database(context);
+              Database created =
+                  new Database(context, (doubted, reason) -> doubts.accept(doubted, reason));
               limitConnections(pool, created);
               return created;
             });
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
@@ -14,6 +14,7 @@
  * @param regions The regions by the names of their failure domains.
  * @param callerAddress The address for callers.
  * @param adminAddress The address for readiness and metrics.
+ * @param peerAddress The address for the other proxies.
  * @param storeAddress The address of the platform's store.
  * @param promotionAddress The address of the platform's service for promotions.
  * @param shutdownGrace The time between the request to stop and the end of the process.
@@ -26,6 +27,7 @@
     Map<String, String> regions,
     InetSocketAddress callerAddress,
     InetSocketAddress adminAddress,
+    InetSocketAddress peerAddress,
     InetSocketAddress storeAddress,
     InetSocketAddress promotionAddress,
     Duration shutdownGrace,
@@ -61,6 +63,7 @@
         Map.copyOf(regions),
         reader.address("caller-address"),
         reader.address("admin-address"),
+        reader.address("peer-address"),
         reader.address("platform.store"),
         reader.address("platform.promotion"),
         reader.duration("shutdown-grace", SHUTDOWN_GRACE),
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.freshness.FloorHistory;
 import org.hickoryshed.decision.freshness.Moment;
@@ -32,6 +33,9 @@
   /** What all pools share. */
   private final MemberContext context;
 
+  /** The receiver of the pool whose primary is in doubt, and of the reason. */
+  private final BiConsumer<String, String> doubts;
+
   /** The members by their identifiers. */
   private final Map<String, Member> members = new LinkedHashMap<>();
 
@@ -45,9 +49,11 @@
    * Creates a database without members.
    *
    * @param context What all pools share.
+   * @param doubts The receiver of the pool whose primary is in doubt, and of the reason.
    */
-  public Database(MemberContext context) {
+  public Database(MemberContext context, BiConsumer<String, String> doubts) {
     this.context = context;
+    this.doubts = doubts;
   }
 
   /**
@@ -136,6 +142,18 @@
         .map(member -> member.pool);
   }
 
+  /**
+   * Finds the member that claims the lead most recently, whether it serves or not.
+   *
+   * @return The pool of the member or an empty optional if none claims the lead.
+   */
+  public Optional<MemberPool> leader() {
+    return members.values().stream()
+        .filter(member -> member.pool.entry().primary())
+        .max(Comparator.comparingLong(member -> member.claimRevision))
+        .map(member -> member.pool);
+  }
+
   /**
    * Finds the member that is to answer a read that any fresh log may answer.
    *
@@ -198,12 +216,16 @@
   }
 
   /**
-   * Handles a member that can't be reached.
+   * Handles a member that does not answer.
    *
    * @param pool The pool of the member.
+   * @param reason What was seen.
    */
-  void onUnreachable(MemberPool pool) {
-    context.metrics().counter("member_unreachable", "pool", pool.entry().pool()).inc();
+  void onDoubt(MemberPool pool, String reason) {
+    context.metrics().counter("member_doubts", "pool", pool.entry().pool()).inc();
+    if (leader().filter(pool::equals).isPresent()) {
+      doubts.accept(pool.entry().pool(), reason);
+    }
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -225,6 +225,7 @@
   public void begin(
       boolean readOnly, Optional<LogPosition> required, Consumer<MemberAnswer> receiver) {
     sendOwn(required, new Statement.Begin(readOnly), receiver, false);
+    pool.watchForAnswer();
     transactionBegun = true;
   }
 
@@ -242,6 +243,16 @@
     expect(receiver, false);
   }
 
+  /**
+   * Asks the member for its status.
+   *
+   * @param receiver The receiver of the answer.
+   */
+  public void askStatus(Consumer<MemberAnswer> receiver) {
+    format.askStatus(connection.output());
+    expect(receiver, false);
+  }
+
   /** Rolls the transaction back. */
   public void rollback() {
     sendOwn(Optional.empty(), new Statement.Rollback(), ignored -> {}, true);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -99,7 +99,7 @@
    * @param other The failure domain.
    * @return The time in milliseconds, one way.
    */
-  long distanceMillis(String other) {
+  public long distanceMillis(String other) {
     if (other.equals(domain)) {
       return 0;
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -5,11 +5,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.function.Consumer;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.wire.MemberReport;
 
 /** The connections to one member and the statements that wait for one. */
 public final class MemberPool {
@@ -29,6 +32,9 @@
   /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
   private static final long IDLE_MILLIS = 4000;
 
+  /** The time in which a member answers an empty statement, without the distance. */
+  private static final long DOUBT_MILLIS = 110;
+
   /** The part of the member's connections that this proxy takes at most, as a divisor. */
   private static final int SHARE_DIVISOR = 2;
 
@@ -223,6 +229,61 @@
     }
   }
 
+  /**
+   * Finds out whether the member answers.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the result.
+   */
+  public void probe(long timeoutMillis, Consumer<Boolean> result) {
+    if (reachable) {
+      new Errand(
+              context.loop(),
+              this,
+              (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
+              answer -> result.accept(answer.isPresent()))
+          .start(timeoutMillis);
+      return;
+    }
+    tryAgain();
+    context.loop().schedule(timeoutMillis, () -> result.accept(reachable));
+  }
+
+  /**
+   * Asks the member for its status.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the report, empty if the member did not answer.
+   */
+  public void askStatus(long timeoutMillis, Consumer<Optional<MemberReport>> result) {
+    new Errand(
+            context.loop(),
+            this,
+            MemberConnection::askStatus,
+            answer ->
+                result.accept(
+                    answer
+                        .filter(MemberAnswer.Done.class::isInstance)
+                        .map(MemberAnswer.Done.class::cast)
+                        .flatMap(done -> done.rows().stream().findFirst())
+                        .flatMap(context.format()::report)))
+        .start(timeoutMillis);
+  }
+
+  /** Raises a doubt if the member answers nothing for longer than an empty statement takes. */
+  void watchForAnswer() {
+    long since = context.loop().now();
+    context
+        .loop()
+        .schedule(
+            DOUBT_MILLIS + 2 * context.distanceMillis(entry.domain()),
+            () -> {
+              if (lastAnswer - since < 0 && reachable && !retired) {
+                database.onDoubt(this, "no answer to an empty statement");
+              }
+            });
+  }
+
   /** Closes idle connections that are not needed. */
   void closeIdle() {
     long now = context.loop().now();
@@ -458,7 +519,7 @@
           .with("pool", entry.pool())
           .with("reason", reason)
           .write();
-      database.onUnreachable(this);
+      database.onDoubt(this, reason);
       failWaiting();
     }
     context.loop().schedule(retryMillis, this::tryAgain);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.StandardProtocolFamily;
 import java.net.StandardSocketOptions;
+import java.nio.channels.DatagramChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
@@ -12,6 +14,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hickoryshed.decision.freshness.Moment;
 import org.hickoryshed.kernel.service.Service;
@@ -172,6 +175,25 @@
     return connection;
   }
 
+  /**
+   * Opens a socket for datagrams.
+   *
+   * @param address The address to listen on.
+   * @param receiver The receiver of the datagrams.
+   * @return The socket.
+   * @throws IOException If the address can't be listened on.
+   */
+  public Datagrams datagrams(
+      InetSocketAddress address, BiConsumer<InetSocketAddress, byte[]> receiver)
+      throws IOException {
+    DatagramChannel channel = DatagramChannel.open(StandardProtocolFamily.INET);
+    channel.configureBlocking(false);
+    channel.bind(address);
+    Datagrams datagrams = new Datagrams(channel, receiver);
+    channel.register(selector, SelectionKey.OP_READ, datagrams);
+    return datagrams;
+  }
+
   /**
    * Notes that a connection has output to flush at the end of this round.
    *
@@ -238,6 +260,7 @@
           switch (key.attachment()) {
             case Connection connection -> connection.onReady();
             case Listener listener -> listener.accept();
+            case Datagrams datagrams -> datagrams.onReady();
             default -> throw new IllegalStateException("unknown attachment of a key");
           }
         });
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -0,0 +1,113 @@
+package org.hickoryshed.session.peer;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageInsufficientBufferException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageTypeException;
+import org.msgpack.core.MessageUnpacker;
+
+/** A datagram between two proxies. */
+public sealed interface PeerMessage {
+
+  /** The version of the datagrams; others are dropped. */
+  int FORMAT = 1;
+
+  /**
+   * Tells that a proxy is alive.
+   *
+   * @param boot The identifier of the run of the proxy.
+   * @param desiredVersion The version of the desired state in force there.
+   */
+  record Heartbeat(String boot, long desiredVersion) implements PeerMessage {}
+
+  /**
+   * Asks whether a primary is reachable.
+   *
+   * @param pool The pool of the primary.
+   * @param member The identifier of the primary.
+   * @param question The number of the question.
+   */
+  record Question(String pool, String member, long question) implements PeerMessage {}
+
+  /**
+   * Answers whether a primary is reachable.
+   *
+   * @param question The number of the question.
+   * @param reachable True if the primary answers the proxy.
+   */
+  record Answer(long question, boolean reachable) implements PeerMessage {}
+
+  /**
+   * Tells that a proxy replaces a primary, so that others need not.
+   *
+   * @param pool The pool.
+   */
+  record Takeover(String pool) implements PeerMessage {}
+
+  /**
+   * Encodes a datagram.
+   *
+   * @param from The name of the sending proxy.
+   * @return The datagram as MessagePack.
+   */
+  default byte[] encode(String from) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      packer.packInt(FORMAT).packString(from);
+      switch (this) {
+        case Heartbeat beat ->
+            packer.packInt(0).packString(beat.boot).packLong(beat.desiredVersion);
+        case Question question ->
+            packer
+                .packInt(1)
+                .packString(question.pool)
+                .packString(question.member)
+                .packLong(question.question);
+        case Answer answer ->
+            packer.packInt(2).packLong(answer.question).packBoolean(answer.reachable);
+        case Takeover takeover -> packer.packInt(3).packString(takeover.pool);
+      }
+      return packer.toByteArray();
+    } catch (IOException exception) {
+      throw new IllegalStateException("a buffer in memory failed", exception);
+    }
+  }
+
+  /**
+   * Decodes a datagram.
+   *
+   * @param content The datagram.
+   * @return The message with its sender, or an empty optional if the datagram is malformed.
+   */
+  static Optional<Received> decode(byte[] content) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
+      if (unpacker.unpackInt() != FORMAT) {
+        return Optional.empty();
+      }
+      String from = unpacker.unpackString();
+      PeerMessage message =
+          switch (unpacker.unpackInt()) {
+            case 0 -> new Heartbeat(unpacker.unpackString(), unpacker.unpackLong());
+            case 1 ->
+                new Question(
+                    unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
+            case 2 -> new Answer(unpacker.unpackLong(), unpacker.unpackBoolean());
+            case 3 -> new Takeover(unpacker.unpackString());
+            default -> null;
+          };
+      return Optional.ofNullable(message).map(known -> new Received(from, known));
+    } catch (IOException | MessageTypeException | MessageInsufficientBufferException exception) {
+      // A datagram of another program or version; the receiver counts it.
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * A received message.
+   *
+   * @param from The name of the sending proxy.
+   * @param message The message.
+   */
+  record Received(String from, PeerMessage message) {}
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -0,0 +1,252 @@
+package org.hickoryshed.session.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.session.journal.EventLog;
+import org.hickoryshed.session.net.Datagrams;
+import org.hickoryshed.session.net.EventLoop;
+
+/**
+ * The other proxies of the system, as far as they are heard.
+ *
+ * <p>A proxy learns the first addresses from the directory and further ones from the datagrams that
+ * reach it. All of it lives on the event loop.
+ */
+public final class PeerNetwork {
+
+  /** The pause between two heartbeats in milliseconds. */
+  private static final long HEARTBEAT_MILLIS = 1000;
+
+  /** The number of proxies that one heartbeat goes to at most; they take turns. */
+  private static final int FAN_OUT = 8;
+
+  /** The silence after which a proxy counts as gone, in milliseconds for each round of turns. */
+  private static final long SILENCE_MILLIS = 2600;
+
+  /** The silence after which a proxy is forgotten, in milliseconds. */
+  private static final long FORGET_MILLIS = 60_000;
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  /** The loop that owns this network. */
+  private final EventLoop loop;
+
+  /** The name of this proxy. */
+  private final String name;
+
+  /** The identifier of this run of the proxy. */
+  private final String boot;
+
+  /** The source of the version of the desired state. */
+  private final LongSupplier desiredVersion;
+
+  /** The log. */
+  private final EventLog log;
+
+  /** The metrics. */
+  private final Metrics metrics;
+
+  /** The other proxies by their names; the one that was asked longest ago comes first. */
+  private final Map<String, Peer> peers = new LinkedHashMap<>();
+
+  /** The socket. */
+  private Datagrams datagrams;
+
+  /** The listener. */
+  private Listener listener;
+
+  /**
+   * Creates a network.
+   *
+   * @param loop The loop that owns the network.
+   * @param name The name of this proxy.
+   * @param boot The identifier of this run of the proxy.
+   * @param desiredVersion The source of the version of the desired state.
+   * @param log The log.
+   * @param metrics The metrics.
+   */
+  public PeerNetwork(
+      EventLoop loop,
+      String name,
+      String boot,
+      LongSupplier desiredVersion,
+      EventLog log,
+      Metrics metrics) {
+    this.loop = loop;
+    this.name = name;
+    this.boot = boot;
+    this.desiredVersion = desiredVersion;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @param address The address of this proxy for the others.
+   * @param receiver The listener.
+   * @throws IOException If the address can't be listened on.
+   */
+  public void start(InetSocketAddress address, Listener receiver) throws IOException {
+    listener = receiver;
+    datagrams = loop.datagrams(address, this::onDatagram);
+    loop.schedule(HEARTBEAT_MILLIS, this::beat);
+  }
+
+  /**
+   * Adds a proxy that the directory names; may be called by any thread.
+   *
+   * @param peer The name of the proxy.
+   * @param address The address.
+   */
+  public void add(String peer, InetSocketAddress address) {
+    loop.submit(
+        () -> {
+          if (!peer.equals(name) && !peers.containsKey(peer)) {
+            Peer added = new Peer(address);
+            added.heard = loop.now() - SILENCE_MILLIS * NANOS_IN_MILLI;
+            peers.put(peer, added);
+            send(added, new PeerMessage.Heartbeat(boot, desiredVersion.getAsLong()));
+          }
+        });
+  }
+
+  /**
+   * Returns the names of the proxies that were heard a moment ago.
+   *
+   * @return The names.
+   */
+  public List<String> alive() {
+    return peers.entrySet().stream()
+        .filter(entry -> isAlive(entry.getValue()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /**
+   * Sends a message to a proxy.
+   *
+   * @param peer The name of the proxy.
+   * @param message The message.
+   */
+  public void send(String peer, PeerMessage message) {
+    Optional.ofNullable(peers.get(peer)).ifPresent(known -> send(known, message));
+  }
+
+  /** Sends a heartbeat to the proxies whose turn it is. */
+  private void beat() {
+    long now = loop.now();
+    peers.values().removeIf(peer -> now - peer.heard > FORGET_MILLIS * NANOS_IN_MILLI);
+    List<String> turn = peers.keySet().stream().limit(FAN_OUT).toList();
+    for (String next : turn) {
+      Peer peer = peers.remove(next);
+      peers.put(next, peer);
+      send(peer, new PeerMessage.Heartbeat(boot, desiredVersion.getAsLong()));
+      noteSilence(next, peer);
+    }
+    loop.schedule(HEARTBEAT_MILLIS, this::beat);
+  }
+
+  /**
+   * Logs once that a proxy is no longer heard.
+   *
+   * @param peer The name of the proxy.
+   * @param known The proxy.
+   */
+  private void noteSilence(String peer, Peer known) {
+    if (known.alive && !isAlive(known)) {
+      known.alive = false;
+      log.event("peer-lost").with("peer", peer).write();
+    }
+  }
+
+  /**
+   * Handles a datagram.
+   *
+   * @param source The address of the sender.
+   * @param content The content.
+   */
+  private void onDatagram(InetSocketAddress source, byte[] content) {
+    Optional<PeerMessage.Received> received = PeerMessage.decode(content);
+    if (received.isEmpty()) {
+      metrics.counter("peer_datagrams_ignored", "reason", "malformed").inc();
+      return;
+    }
+    String from = received.get().from();
+    if (from.equals(name)) {
+      return;
+    }
+    Peer peer = peers.computeIfAbsent(from, key -> new Peer(source));
+    peer.address = source;
+    peer.heard = loop.now();
+    if (!peer.alive) {
+      peer.alive = true;
+      log.event("peer-heard").with("peer", from).write();
+    }
+    if (!(received.get().message() instanceof PeerMessage.Heartbeat)) {
+      listener.onMessage(from, received.get().message());
+    }
+  }
+
+  /**
+   * Checks if a proxy was heard a moment ago.
+   *
+   * @param peer The proxy.
+   * @return {@code true} if it was heard.
+   */
+  private boolean isAlive(Peer peer) {
+    long rounds = (peers.size() + FAN_OUT - 1) / FAN_OUT;
+    return loop.now() - peer.heard < Math.max(1, rounds) * SILENCE_MILLIS * NANOS_IN_MILLI;
+  }
+
+  /**
+   * Sends a message.
+   *
+   * @param peer The proxy.
+   * @param message The message.
+   */
+  private void send(Peer peer, PeerMessage message) {
+    datagrams.send(peer.address, message.encode(name));
+  }
+
+  /** A listener to the messages of other proxies. */
+  public interface Listener {
+
+    /**
+     * Handles a message.
+     *
+     * @param from The name of the sending proxy.
+     * @param message The message.
+     */
+    void onMessage(String from, PeerMessage message);
+  }
+
+  /** Another proxy. */
+  private static final class Peer {
+
+    /** The address. */
+    private InetSocketAddress address;
+
+    /** The reading of the steady clock when the proxy was last heard, in nanoseconds. */
+    private long heard;
+
+    /** True if the proxy was told to be alive in the log. */
+    private boolean alive;
+
+    /**
+     * Creates a new peer.
+     *
+     * @param address The address.
+     */
+    private Peer(InetSocketAddress address) {
+      this.address = address;
+    }
+  }
+}
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/package-info.java
@@ -0,0 +1,2 @@
+/** The duty of replacing a primary that failed or leaves. */
+package org.hickoryshed.session.takeover;
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/MemberReport.java
@@ -0,0 +1,11 @@
+package org.hickoryshed.session.wire;
+
+import org.hickoryshed.decision.topology.LogPosition;
+
+/**
+ * What a member reports of itself when it is asked for its status.
+ *
+ * @param primary True if the member leads.
+ * @param received The last position that the member received.
+ */
+public record MemberReport(boolean primary, LogPosition received) {}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
@@ -111,4 +111,19 @@
    * @param output The output towards the member.
    */
   void reset(OutputBuffer output);
+
+  /**
+   * Asks a member for its status.
+   *
+   * @param output The output towards the member.
+   */
+  void askStatus(OutputBuffer output);
+
+  /**
+   * Reads the row that a member answers when it is asked for its status.
+   *
+   * @param row The row.
+   * @return The report or an empty optional if the row is malformed.
+   */
+  Optional<MemberReport> report(String row);
 }
