--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/freshness/FloorHistoryTest.java
@@ -0,0 +1,117 @@
+package org.hickoryshed.decision.freshness;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the floors of a database. */
+class FloorHistoryTest {
+
+  private static final long MAXIMUM_AGE = 1500;
+
+  private final FloorHistory floors = new FloorHistory();
+
+  @Test
+  void hasNoRequirementWithoutFloor() {
+    assertThat(floors.required(at(5000), MAXIMUM_AGE, Optional.empty())).isEmpty();
+  }
+
+  @Test
+  void takesTheLowestFloorThatIsRecentEnough() {
+    floors.add(at(1000), position(1, 10));
+    floors.add(at(2000), position(1, 20));
+    floors.add(at(3000), position(1, 30));
+
+    assertThat(floors.required(at(3400), MAXIMUM_AGE, Optional.empty())).contains(position(1, 20));
+  }
+
+  @Test
+  void hasNoRequirementOnceTheFloorIsTooOld() {
+    floors.add(at(1000), position(1, 10));
+
+    assertThat(floors.required(at(2501), MAXIMUM_AGE, Optional.empty())).isEmpty();
+  }
+
+  @Test
+  void countsTheTimeOfSuspendedVm() {
+    floors.add(new Moment(1_000_000_000L, 1000), position(1, 10));
+    Moment afterSuspension = new Moment(1_100_000_000L, 9000);
+
+    assertThat(floors.required(afterSuspension, MAXIMUM_AGE, Optional.empty())).isEmpty();
+  }
+
+  @Test
+  void doesNotTrustTimeOfDayThatWentBack() {
+    floors.add(new Moment(1_000_000_000L, 9000), position(1, 10));
+    Moment afterStep = new Moment(4_000_000_000L, 9100);
+
+    assertThat(floors.required(afterStep, MAXIMUM_AGE, Optional.empty())).isEmpty();
+  }
+
+  @Test
+  void dropsFloorsOfOlderTerms() {
+    floors.add(at(1000), position(1, 10));
+    floors.observeTerm(2);
+
+    assertThat(floors.required(at(1100), MAXIMUM_AGE, Optional.empty())).isEmpty();
+  }
+
+  @Test
+  void ignoresFloorOfOlderTerm() {
+    floors.add(at(1000), position(2, 10));
+    floors.add(at(1100), position(1, 99));
+
+    assertThat(floors.required(at(1200), MAXIMUM_AGE, Optional.empty())).contains(position(2, 10));
+  }
+
+  @Test
+  void raisesRequirementToOwnCommit() {
+    floors.add(at(1000), position(1, 10));
+
+    assertThat(floors.required(at(1100), MAXIMUM_AGE, Optional.of(position(1, 17))))
+        .contains(position(1, 17));
+  }
+
+  @Test
+  void needsNoRolledBackCommitOfOlderTerm() {
+    floors.add(at(1000), position(2, 10));
+
+    assertThat(floors.required(at(1100), MAXIMUM_AGE, Optional.of(position(1, 17))))
+        .contains(position(2, 10));
+  }
+
+  @Property(tries = 500, seed = "20261204")
+  void coversEveryCommitThatIsOlderThanTheAge(
+      @ForAll @LongRange(min = 1, max = 40) long spacing,
+      @ForAll @LongRange(min = 1, max = 400) long count,
+      @ForAll @LongRange(min = 0, max = 3000) long later) {
+    // All tries share one instance of this class.
+    FloorHistory fresh = new FloorHistory();
+    // Position n is acknowledged at n times the spacing, and a floor is asked for right then.
+    for (long number = 1; number <= count; number++) {
+      fresh.add(at(number * spacing), position(1, number));
+    }
+    long read = count * spacing + later;
+
+    Optional<LogPosition> required = fresh.required(at(read), MAXIMUM_AGE, Optional.empty());
+
+    long mustHold = Math.min(count, Math.max(0, (read - MAXIMUM_AGE - 1) / spacing));
+    assertThat(required.map(LogPosition::index).orElse(Long.MAX_VALUE))
+        .isGreaterThanOrEqualTo(mustHold);
+  }
+
+  /** Returns a moment on two clocks that agree. */
+  private static Moment at(long millis) {
+    return new Moment(millis * 1_000_000, millis);
+  }
+
+  /** Returns a position. */
+  private static LogPosition position(long term, long index) {
+    return new LogPosition(term, index);
+  }
+}
--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/takeover/SuccessorTest.java
@@ -0,0 +1,48 @@
+package org.hickoryshed.decision.takeover;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the choice of the next primary. */
+class SuccessorTest {
+
+  @Test
+  void takesTheMemberThatReceivedMost() {
+    assertThat(chosen(of("far", 4, 20, true, 8), of("near", 4, 19, true, 0))).isEqualTo("far");
+  }
+
+  @Test
+  void putsTheTermBeforeTheNumber() {
+    assertThat(chosen(of("old", 3, 99, true, 0), of("new", 4, 5, true, 0))).isEqualTo("new");
+  }
+
+  @Test
+  void takesTheNearerOneOfEqualMembers() {
+    assertThat(chosen(of("far", 4, 20, true, 8), of("near", 4, 20, true, 0))).isEqualTo("near");
+  }
+
+  @Test
+  void takesLeavingMemberOnlyAlone() {
+    assertThat(chosen(of("leaving", 4, 20, false, 0), of("staying", 4, 19, true, 8)))
+        .isEqualTo("staying");
+    assertThat(chosen(of("leaving", 4, 20, false, 0))).isEqualTo("leaving");
+  }
+
+  @Test
+  void takesNobodyOfNobody() {
+    assertThat(Successor.choose(List.of())).isEmpty();
+  }
+
+  /** Returns a candidate. */
+  private static Successor of(String member, long term, long index, boolean stays, long distance) {
+    return new Successor(member, new LogPosition(term, index), stays, distance);
+  }
+
+  /** Returns the identifier of the chosen candidate. */
+  private static String chosen(Successor... candidates) {
+    return Successor.choose(List.of(candidates)).orElseThrow().member();
+  }
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -130,9 +130,12 @@
     entry = changed;
   }
 
-  /** Opens a first connection so that the first statement does not wait for it. */
+  /**
+   * Keeps one connection open, so that the first statement does not wait for it and a member that
+   * is gone is noticed.
+   */
   void warm() {
-    if (connections.isEmpty()) {
+    if (connections.isEmpty() && context.loop().now() - refusedUntil >= 0) {
       openConnection();
     }
   }
@@ -370,6 +373,7 @@
     }
     if (!retired && reachable) {
       openIfNeeded();
+      warm();
     }
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -3,9 +3,8 @@
 import java.io.IOException;
 import java.util.Optional;
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessageInsufficientBufferException;
 import org.msgpack.core.MessagePack;
-import org.msgpack.core.MessageTypeException;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /** A datagram between two proxies. */
@@ -97,7 +96,7 @@
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
-    } catch (IOException | MessageTypeException | MessageInsufficientBufferException exception) {
+    } catch (IOException | MessagePackException exception) {
       // A datagram of another program or version; the receiver counts it.
       return Optional.empty();
     }
--- /dev/null
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -0,0 +1,44 @@
+package org.hickoryshed.session.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the datagrams between proxies. */
+class PeerMessageTest {
+
+  private static final List<PeerMessage> MESSAGES =
+      List.of(
+          new PeerMessage.Heartbeat("b00t", 17),
+          new PeerMessage.Question("orders", "m1", 3),
+          new PeerMessage.Answer(3, true),
+          new PeerMessage.Takeover("orders"));
+
+  @Test
+  void readsWhatItWrites() {
+    for (PeerMessage message : MESSAGES) {
+      assertThat(PeerMessage.decode(message.encode("p1")))
+          .contains(new PeerMessage.Received("p1", message));
+    }
+  }
+
+  @Test
+  void dropsDatagramThatIsCutOff() {
+    for (PeerMessage message : MESSAGES) {
+      byte[] whole = message.encode("p1");
+      for (int length = 0; length < whole.length; length++) {
+        assertThat(PeerMessage.decode(Arrays.copyOf(whole, length))).isEmpty();
+      }
+    }
+  }
+
+  @Test
+  void dropsDatagramOfOtherFormat() {
+    byte[] other = MESSAGES.get(0).encode("p1");
+    other[0] = 9;
+    assertThat(PeerMessage.decode(other)).isEmpty();
+    assertThat(PeerMessage.decode(new byte[] {(byte) 0xc1, 1, 2})).isEmpty();
+  }
+}
