--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/platform/StoreClient.java
@@ -119,7 +119,7 @@
    * @return The path.
    */
   private static String path(String name) {
-    return "/v1/objects/" + name;
+    return "/v1/entries/" + name;
   }
 
   /**
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ArchitectureTest.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ArchitectureTest.java
@@ -1,17 +1,50 @@
 package org.hickoryshed.dist;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Instant;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Tests of the architecture. */
 class ArchitectureTest {
 
+  /** Words of the platform's interfaces, which only its adapter may use. */
+  private static final String[] PLATFORM_NAMES = {
+    "X-Fence-Token",
+    "X-Duty-Holder",
+    "StoreRevision",
+    "DbRole",
+    "MaxStalenessMs",
+    "ColdRemainingMs",
+    "TargetLatencyMs",
+    "TimeoutMs\"",
+    "TxIdleMs",
+    "SyncReplicas",
+    "HICKORYSHED_SETTINGS",
+    "/v1/objects",
+    "/v1/ready",
+    "/promotion",
+    "read_your_writes",
+    "bounded_staleness",
+    "INDOUBT",
+    "LAGGING",
+    "MISDIRECT",
+    "NOSTMT",
+    "READONLY",
+    "TOOMANY",
+    "DEALLOC"
+  };
+
   private static final JavaClasses CLASSES =
       new ClassFileImporter()
           .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
@@ -60,4 +93,32 @@
         .belongToAnyOf(ProcessBuilder.class, Process.class)
         .check(CLASSES);
   }
+
+  @Test
+  void productDoesNotDependOnPlatform() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackage("org.hickoryshed.platform..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("org.hickoryshed.platform..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void onlyPlatformKnowsItsNames() throws IOException {
+    Path root = Path.of("..").toRealPath();
+    try (Stream<Path> files = Files.walk(root)) {
+      List<Path> sources =
+          files
+              .filter(file -> file.toString().contains("/src/main/java/"))
+              .filter(file -> !file.startsWith(root.resolve("platform")))
+              .filter(file -> file.toString().endsWith(".java"))
+              .toList();
+      assertThat(sources).isNotEmpty();
+      for (Path source : sources) {
+        assertThat(Files.readString(source)).as(source.toString()).doesNotContain(PLATFORM_NAMES);
+      }
+    }
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -55,6 +55,9 @@
   /** The identifiers of the members whose entries ended a moment ago. */
   private final Set<String> ending = new HashSet<>();
 
+  /** The highest revision of the entries of members. */
+  private long memberRevision;
+
   /** The open sessions. */
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
 
@@ -116,6 +119,15 @@
     return Optional.ofNullable(databases.get(pool));
   }
 
+  /**
+   * Returns the highest revision of the entries of members that are known.
+   *
+   * @return The revision, zero if no entry is known.
+   */
+  public long memberRevision() {
+    return memberRevision;
+  }
+
   /**
    * Returns the names of the pools that have members.
    *
@@ -296,6 +308,7 @@
       removeMember(entry.id());
     }
     members.put(entry.id(), entry);
+    memberRevision = Math.max(memberRevision, entry.revision());
     log()
         .event("member-entry")
         .with("member", entry.id())
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -1,6 +1,7 @@
 package org.hickoryshed.session.caller;
 
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.hickoryshed.decision.directory.DatabaseRoute;
@@ -41,6 +42,9 @@
   /** The number of times that a read is sent at most. */
   private static final int READ_ATTEMPTS = 3;
 
+  /** The bits of the hash of an identifier that are zero for a logged success: one in 64. */
+  private static final int SAMPLE_MASK = 63;
+
   /** What the answer to a refused statement says. */
   private static final String COME_BACK = "not run; try again in 100 ms";
 
@@ -77,6 +81,9 @@
   /** Ends the present attempt. */
   private Optional<EventLoop.Timer> attemptTimer = Optional.empty();
 
+  /** The reading of the steady clock when a connection was asked for, in nanoseconds. */
+  private long borrowed;
+
   /** The reading of the steady clock when the present attempt began, in nanoseconds. */
   private long attemptStarted;
 
@@ -89,6 +96,9 @@
   /** The position that the member's log must hold. */
   private Optional<LogPosition> required = Optional.empty();
 
+  /** Why the last attempt failed. */
+  private String retryReason = "";
+
   /** The number of the present attempt; answers to older ones are dropped. */
   private int attempt;
 
@@ -173,6 +183,7 @@
   @Override
   public void onConnection(MemberConnection lent) {
     cancelAttemptTimer();
+    gateway.metrics().duration("connection_wait", gateway.loop().now() - borrowed);
     connection = Optional.of(lent);
     prepareFor(lent);
     if (transaction.isPresent()) {
@@ -212,6 +223,7 @@
     if (reader.isPresent()) {
       startAttemptTimer(BORROW_MILLIS);
     }
+    borrowed = gateway.loop().now();
     pool.get().borrow(this);
   }
 
@@ -380,6 +392,11 @@
    * @param done The answer.
    */
   private void onDone(MemberAnswer.Done done) {
+    gateway.metrics().duration("member_answer", gateway.loop().now() - done.asked().steadyNanos());
+    gateway
+        .metrics()
+        .counter("member_answers", "role", required.isPresent() ? "any" : "primary")
+        .inc();
     boolean commits = request.statement() instanceof Statement.Commit;
     boolean committed =
         commits
@@ -399,6 +416,9 @@
               }
             });
     end("done");
+    if ((request.id().hashCode() & SAMPLE_MASK) == 0) {
+      line("statement-done").write();
+    }
     if (transaction.isPresent() && !commits) {
       session.answer(done.rows(), done.proof(), TransactionState.OPEN);
       return;
@@ -468,6 +488,7 @@
     connection.ifPresent(MemberConnection::release);
     connection = Optional.empty();
     if (kind == FailureKind.BEHIND) {
+      noteRetry("the member is behind");
       choose();
     } else {
       lookAgain("refused: " + kind);
@@ -493,6 +514,7 @@
     } else if (access == Access.WRITE) {
       refuse(FailureKind.UNKNOWN_OUTCOME, reason);
     } else if (sent < READ_ATTEMPTS) {
+      noteRetry("answer lost: " + reason);
       pool.ifPresent(member -> excluded.add(member.entry().id()));
       choose();
     } else {
@@ -506,16 +528,31 @@
    * @param reason Why none was found.
    */
   private void lookAgain(String reason) {
+    noteRetry(reason);
     attempt++;
     excluded.clear();
     attemptTimer = Optional.of(gateway.loop().schedule(LOOK_AGAIN_MILLIS, this::choose));
   }
 
+  /**
+   * Logs that the statement is tried again, once for each reason in a row.
+   *
+   * @param reason Why the attempt failed.
+   */
+  private void noteRetry(String reason) {
+    if (!reason.equals(retryReason)) {
+      retryReason = reason;
+      line("statement-retried").with("reason", reason).write();
+      gateway.metrics().counter("statement_retries", "freshness", route.freshness().name()).inc();
+    }
+  }
+
   /** Ends an attempt that takes too long and tries another member. */
   private void onAttemptTimeout() {
     if (finished) {
       return;
     }
+    noteRetry("no answer in time");
     if (connection.isPresent()) {
       pool.ifPresent(member -> member.noteTimeout(attemptStarted));
     }
@@ -586,7 +623,11 @@
     deadline.cancel();
     cancelAttemptTimer();
     gateway.metrics().counter("statements", "outcome", outcome).inc();
-    gateway.metrics().duration("statement", gateway.loop().now() - arrived.steadyNanos());
+    gateway
+        .metrics()
+        .duration(
+            "statement_" + route.freshness().name().toLowerCase(Locale.ROOT),
+            gateway.loop().now() - arrived.steadyNanos());
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -11,15 +11,16 @@
 public sealed interface PeerMessage {
 
   /** The version of the datagrams; others are dropped. */
-  int FORMAT = 1;
+  int FORMAT = 2;
 
   /**
    * Tells that a proxy is alive.
    *
    * @param boot The identifier of the run of the proxy.
    * @param desiredVersion The version of the desired state in force there.
+   * @param memberRevision The highest revision of the entries of members that are known there.
    */
-  record Heartbeat(String boot, long desiredVersion) implements PeerMessage {}
+  record Heartbeat(String boot, long desiredVersion, long memberRevision) implements PeerMessage {}
 
   /**
    * Asks whether a primary is reachable.
@@ -56,7 +57,11 @@
       packer.packInt(FORMAT).packString(from);
       switch (this) {
         case Heartbeat beat ->
-            packer.packInt(0).packString(beat.boot).packLong(beat.desiredVersion);
+            packer
+                .packInt(0)
+                .packString(beat.boot)
+                .packLong(beat.desiredVersion)
+                .packLong(beat.memberRevision);
         case Question question ->
             packer
                 .packInt(1)
@@ -87,7 +92,9 @@
       String from = unpacker.unpackString();
       PeerMessage message =
           switch (unpacker.unpackInt()) {
-            case 0 -> new Heartbeat(unpacker.unpackString(), unpacker.unpackLong());
+            case 0 ->
+                new Heartbeat(
+                    unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong());
             case 1 ->
                 new Question(
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.net.Datagrams;
@@ -41,11 +41,8 @@
   /** The name of this proxy. */
   private final String name;
 
-  /** The identifier of this run of the proxy. */
-  private final String boot;
-
-  /** The source of the version of the desired state. */
-  private final LongSupplier desiredVersion;
+  /** The source of what a heartbeat tells. */
+  private final Supplier<PeerMessage.Heartbeat> heartbeat;
 
   /** The log. */
   private final EventLog log;
@@ -67,22 +64,19 @@
    *
    * @param loop The loop that owns the network.
    * @param name The name of this proxy.
-   * @param boot The identifier of this run of the proxy.
-   * @param desiredVersion The source of the version of the desired state.
+   * @param heartbeat The source of what a heartbeat tells.
    * @param log The log.
    * @param metrics The metrics.
    */
   public PeerNetwork(
       EventLoop loop,
       String name,
-      String boot,
-      LongSupplier desiredVersion,
+      Supplier<PeerMessage.Heartbeat> heartbeat,
       EventLog log,
       Metrics metrics) {
     this.loop = loop;
     this.name = name;
-    this.boot = boot;
-    this.desiredVersion = desiredVersion;
+    this.heartbeat = heartbeat;
     this.log = log;
     this.metrics = metrics;
   }
@@ -113,7 +107,7 @@
             Peer added = new Peer(address);
             added.heard = loop.now() - SILENCE_MILLIS * NANOS_IN_MILLI;
             peers.put(peer, added);
-            send(added, new PeerMessage.Heartbeat(boot, desiredVersion.getAsLong()));
+            send(added, heartbeat.get());
           }
         });
   }
@@ -148,7 +142,7 @@
     for (String next : turn) {
       Peer peer = peers.remove(next);
       peers.put(next, peer);
-      send(peer, new PeerMessage.Heartbeat(boot, desiredVersion.getAsLong()));
+      send(peer, heartbeat.get());
       noteSilence(next, peer);
     }
     loop.schedule(HEARTBEAT_MILLIS, this::beat);
@@ -190,9 +184,7 @@
       peer.alive = true;
       log.event("peer-heard").with("peer", from).write();
     }
-    if (!(received.get().message() instanceof PeerMessage.Heartbeat)) {
-      listener.onMessage(from, received.get().message());
-    }
+    listener.onMessage(from, received.get().message());
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -153,7 +153,9 @@
               .forEach(open -> onVote(open, answer.question(), from, answer.reachable()));
       case PeerMessage.Takeover takeover ->
           leaveTo(from, cases.computeIfAbsent(takeover.pool(), Case::new));
-      default -> context.metrics().counter("peer_datagrams_ignored", "reason", "kind").inc();
+      default -> {
+        // The other messages are not about primaries.
+      }
     }
   }
 
--- a/hickoryshed-standin/src/main/java/org/hickoryshed/standin/platform/PlatformStandIn.java
+++ b/hickoryshed-standin/src/main/java/org/hickoryshed/standin/platform/PlatformStandIn.java
@@ -24,7 +24,7 @@
   private static final int VALUE_LIMIT = 1024 * 1024;
 
   /** The path of objects. */
-  private static final String OBJECTS = "/v1/objects/";
+  private static final String OBJECTS = "/v1/entries/";
 
   /** The path of the VM list. */
   private static final String VMS = "/v1/vms";
