Learn a fresh floor by an empty transaction at the primary, or from another proxy

Change: reads that may run anywhere wait for one shared question to the primary (an empty transaction takes no slot); without a free connection other proxies are asked, ages counted from the question. Shares follow the number of proxies, idle connections close after 1.5 s, one attempt at a time after a refusal.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/freshness/FloorHistory.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/freshness/FloorHistory.java
@@ -64,6 +64,15 @@
     }
   }
 
+  /**
+   * Returns the floor that was added last.
+   *
+   * @return The floor or an empty optional if there is none.
+   */
+  public Optional<Floor> latest() {
+    return Optional.ofNullable(floors.peekLast());
+  }
+
   /**
    * Finds the lowest position that is fresh enough for a read.
    *
@@ -115,5 +124,5 @@
    * @param asked The moment before which all acknowledged commits are covered.
    * @param position The position that covers them.
    */
-  private record Floor(Moment asked, LogPosition position) {}
+  public record Floor(Moment asked, LogPosition position) {}
 }
--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/freshness/Moment.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/freshness/Moment.java
@@ -25,4 +25,14 @@
     long steady = (steadyNanos - earlier.steadyNanos + NANOS_IN_MILLI - 1) / NANOS_IN_MILLI;
     return Math.max(steady, wallMillis - earlier.wallMillis);
   }
+
+  /**
+   * Returns an earlier moment.
+   *
+   * @param millis The time between that moment and this one in milliseconds.
+   * @return The earlier moment.
+   */
+  public Moment minusMillis(long millis) {
+    return new Moment(steadyNanos - millis * NANOS_IN_MILLI, wallMillis - millis);
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -64,6 +64,9 @@
   /** The receiver of the pool whose primary is in doubt, and of the reason. */
   private BiConsumer<String, String> doubts = (pool, reason) -> {};
 
+  /** Asks other proxies for a floor of a database, named by its pool. */
+  private BiConsumer<String, Database> floorQuestions = (pool, database) -> {};
+
   /** The desired state in force. */
   private volatile DesiredState desired = DesiredState.NONE;
 
@@ -109,6 +112,15 @@
     doubts = receiver;
   }
 
+  /**
+   * Takes what asks other proxies for floors, before the loop is started.
+   *
+   * @param questions Asks for a floor of a database, named by its pool.
+   */
+  public void onFloorQuestions(BiConsumer<String, Database> questions) {
+    floorQuestions = questions;
+  }
+
   /**
    * Finds the database of a pool.
    *
@@ -324,7 +336,10 @@
             entry.pool(),
             pool -> {
               Database created =
-                  new Database(context, (doubted, reason) -> doubts.accept(doubted, reason));
+                  new Database(
+                      context,
+                      (doubted, reason) -> doubts.accept(doubted, reason),
+                      asking -> floorQuestions.accept(pool, asking));
               limitConnections(pool, created);
               return created;
             });
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -96,6 +96,9 @@
   /** The position that the member's log must hold. */
   private Optional<LogPosition> required = Optional.empty();
 
+  /** True once a fresh floor was asked for. */
+  private boolean askedForFloor;
+
   /** Why the last attempt failed. */
   private String retryReason = "";
 
@@ -211,6 +214,19 @@
       return;
     }
     required = requiredPosition(database.get());
+    if (required.isEmpty() && readsAnywhere() && !askedForFloor) {
+      askedForFloor = true;
+      int current = attempt;
+      database
+          .get()
+          .awaitFloor(
+              () -> {
+                if (current == attempt) {
+                  choose();
+                }
+              });
+      return;
+    }
     Optional<MemberPool> reader = required.flatMap(position -> database.get().reader(excluded));
     if (reader.isEmpty()) {
       required = Optional.empty();
@@ -227,6 +243,16 @@
     pool.get().borrow(this);
   }
 
+  /**
+   * Checks if any member with a fresh enough log may answer.
+   *
+   * @return {@code false} if only the primary may answer.
+   */
+  private boolean readsAnywhere() {
+    return transaction.map(Transaction::readOnly).orElse(access == Access.READ)
+        && route.freshness() != DatabaseRoute.Freshness.PRIMARY;
+  }
+
   /**
    * Finds the position that the log of any member must hold to answer this statement.
    *
@@ -234,10 +260,7 @@
    * @return The position, or an empty optional if only the primary may answer.
    */
   private Optional<LogPosition> requiredPosition(Database database) {
-    boolean reads =
-        transaction.map(Transaction::readOnly).orElse(access == Access.READ)
-            && route.freshness() != DatabaseRoute.Freshness.PRIMARY;
-    if (!reads) {
+    if (!readsAnywhere()) {
       return Optional.empty();
     }
     Moment firstByte = transaction.map(Transaction::firstByte).orElse(arrived);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -1,12 +1,15 @@
 package org.hickoryshed.session.member;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.freshness.FloorHistory;
 import org.hickoryshed.decision.freshness.Moment;
@@ -27,6 +30,9 @@
   /** What a crossing between failure domains adds to the estimate of a member, in nanoseconds. */
   private static final double NEAR_PENALTY_NANOS = 3e6;
 
+  /** The longest time to wait for a floor in milliseconds. */
+  private static final long FLOOR_MILLIS = 120;
+
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -36,12 +42,21 @@
   /** The receiver of the pool whose primary is in doubt, and of the reason. */
   private final BiConsumer<String, String> doubts;
 
+  /** Asks other proxies for a floor of a database. */
+  private final Consumer<Database> floorQuestions;
+
   /** The members by their identifiers. */
   private final Map<String, Member> members = new LinkedHashMap<>();
 
   /** The recent floors. */
   private final FloorHistory floors = new FloorHistory();
 
+  /** What waits for a floor. */
+  private final List<Runnable> floorWaiters = new ArrayList<>();
+
+  /** True while the primary is asked for its position. */
+  private boolean askingPrimary;
+
   /** The highest number of connections to one member. */
   private int connectionLimit = DEFAULT_CONNECTIONS;
 
@@ -50,10 +65,13 @@
    *
    * @param context What all pools share.
    * @param doubts The receiver of the pool whose primary is in doubt, and of the reason.
+   * @param floorQuestions Asks other proxies for a floor of a database.
    */
-  public Database(MemberContext context, BiConsumer<String, String> doubts) {
+  public Database(
+      MemberContext context, BiConsumer<String, String> doubts, Consumer<Database> floorQuestions) {
     this.context = context;
     this.doubts = doubts;
+    this.floorQuestions = floorQuestions;
   }
 
   /**
@@ -196,6 +214,61 @@
     floors.add(asked, position);
   }
 
+  /**
+   * Asks for a fresh floor and runs an action once it came or can't be had.
+   *
+   * <p>All that wait share one empty transaction at the primary, which takes none of its slots.
+   * Other proxies are asked too if no connection to the primary is free.
+   *
+   * @param action The action.
+   */
+  public void awaitFloor(Runnable action) {
+    floorWaiters.add(action);
+    if (askingPrimary) {
+      return;
+    }
+    Optional<MemberPool> primary = primary().filter(MemberPool::isReachable);
+    if (primary.isEmpty() || !primary.get().hasIdleConnection()) {
+      floorQuestions.accept(this);
+    }
+    if (primary.isPresent()) {
+      askingPrimary = true;
+      primary.get().askPosition(FLOOR_MILLIS, this::onPrimaryAnswer);
+    } else {
+      context.loop().schedule(FLOOR_MILLIS, this::runFloorWaiters);
+    }
+  }
+
+  /**
+   * Adds a floor of another proxy.
+   *
+   * @param floor The floor on the clocks of this proxy.
+   */
+  public void onPeerFloor(FloorHistory.Floor floor) {
+    floors.add(floor.asked(), floor.position());
+    runFloorWaiters();
+  }
+
+  /**
+   * Handles the answer of the primary to the question for its position.
+   *
+   * @param answer The answer or an empty optional if none came in time.
+   */
+  private void onPrimaryAnswer(Optional<MemberAnswer> answer) {
+    askingPrimary = false;
+    if (answer.isPresent() && answer.get() instanceof MemberAnswer.Done done) {
+      done.position().ifPresent(position -> addFloor(done.asked(), position));
+    }
+    runFloorWaiters();
+  }
+
+  /** Runs what waits for a floor. */
+  private void runFloorWaiters() {
+    List<Runnable> waiters = List.copyOf(floorWaiters);
+    floorWaiters.clear();
+    waiters.forEach(Runnable::run);
+  }
+
   /** Closes idle connections that are not needed. */
   public void closeIdle() {
     members.values().forEach(member -> member.pool.closeIdle());
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -1,6 +1,7 @@
 package org.hickoryshed.session.member;
 
 import java.util.Map;
+import java.util.function.IntSupplier;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.net.Connection;
@@ -14,6 +15,7 @@
  * @param domain The failure domain of this process.
  * @param regions The regions by the names of their failure domains.
  * @param keptConnections The number of connections to a member that stay open while idle.
+ * @param proxies The source of the number of proxies that are alive, this one counted.
  * @param loop The event loop.
  * @param format The format of the messages.
  * @param log The log.
@@ -25,6 +27,7 @@
     String domain,
     Map<String, String> regions,
     int keptConnections,
+    IntSupplier proxies,
     EventLoop loop,
     WireFormat format,
     EventLog log,
@@ -47,6 +50,7 @@
    * @param domain The failure domain of this process.
    * @param regions The regions by the names of their failure domains.
    * @param keptConnections The number of connections to a member that stay open while idle.
+   * @param proxies The source of the number of proxies that are alive, this one counted.
    * @param loop The event loop.
    * @param format The format of the messages.
    * @param log The log.
@@ -57,6 +61,7 @@
       String domain,
       Map<String, String> regions,
       int keptConnections,
+      IntSupplier proxies,
       EventLoop loop,
       WireFormat format,
       EventLog log,
@@ -66,6 +71,7 @@
         domain,
         regions,
         keptConnections,
+        proxies,
         loop,
         format,
         log,
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -30,13 +30,13 @@
   private static final long LONGEST_RETRY_MILLIS = 1000;
 
   /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
-  private static final long IDLE_MILLIS = 4000;
+  private static final long IDLE_MILLIS = 1500;
 
   /** The time in which a member answers an empty statement, without the distance. */
   private static final long DOUBT_MILLIS = 110;
 
-  /** The part of the member's connections that this proxy takes at most, as a divisor. */
-  private static final int SHARE_DIVISOR = 2;
+  /** The number of equal shares of the connections of a member that one proxy takes at most. */
+  private static final int SHARES = 2;
 
   /** The weight of a new sample in the mean time of an answer. */
   private static final double SAMPLE_WEIGHT = 0.1;
@@ -86,6 +86,9 @@
   /** The reading of the steady clock until which no connection is opened. */
   private long refusedUntil;
 
+  /** True if the member refused the last new connection, so that one at a time is tried. */
+  private boolean refusedLast;
+
   /** The reading of the steady clock until which the member is taken to be behind. */
   private long behindUntil;
 
@@ -240,18 +243,37 @@
    */
   public void probe(long timeoutMillis, Consumer<Boolean> result) {
     if (reachable) {
-      new Errand(
-              context.loop(),
-              this,
-              (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
-              answer -> result.accept(answer.isPresent()))
-          .start(timeoutMillis);
+      askPosition(timeoutMillis, answer -> result.accept(answer.isPresent()));
       return;
     }
     tryAgain();
     context.loop().schedule(timeoutMillis, () -> result.accept(reachable));
   }
 
+  /**
+   * Checks if a statement can be sent without waiting for a connection.
+   *
+   * @return {@code true} if a connection is idle.
+   */
+  boolean hasIdleConnection() {
+    return !idle.isEmpty();
+  }
+
+  /**
+   * Asks the member for the position of its log by an empty transaction that only a primary begins.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the answer, empty if none came in time.
+   */
+  void askPosition(long timeoutMillis, Consumer<Optional<MemberAnswer>> result) {
+    new Errand(
+            context.loop(),
+            this,
+            (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
+            result)
+        .start(timeoutMillis);
+  }
+
   /**
    * Asks the member for its status.
    *
@@ -331,6 +353,7 @@
    */
   void onOpened(MemberConnection connection) {
     opening--;
+    refusedLast = false;
     retryMillis = FIRST_RETRY_MILLIS;
     if (!reachable) {
       reachable = true;
@@ -347,6 +370,7 @@
    */
   void onOpeningRefused(FailureKind kind, String text) {
     refusedUntil = context.loop().now() + REFUSED_PAUSE_MILLIS * NANOS_IN_MILLI;
+    refusedLast = true;
     context.metrics().counter("member_refusals", "kind", kind.name()).inc();
     if (kind == FailureKind.WRONG_MEMBER) {
       markUnreachable("another member at this address: " + text);
@@ -443,9 +467,10 @@
 
   /** Opens connections while statements wait for more than are being opened. */
   private void openIfNeeded() {
+    int limit = refusedLast ? 1 : waiting.size();
     while (!retired
         && reachable
-        && waiting.size() > opening
+        && limit > opening
         && connections.size() < share()
         && context.loop().now() - refusedUntil >= 0) {
       if (!openConnection()) {
@@ -460,7 +485,9 @@
    * @return The number of connections.
    */
   private int share() {
-    return Math.max(context.keptConnections(), database.connectionLimit() / SHARE_DIVISOR);
+    int proxies = context.proxies().getAsInt();
+    int share = SHARES * database.connectionLimit() / Math.max(SHARES, proxies);
+    return Math.max(context.keptConnections() + 1, share);
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import org.hickoryshed.decision.topology.LogPosition;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -46,6 +47,23 @@
    */
   record Takeover(String pool) implements PeerMessage {}
 
+  /**
+   * Asks for the latest floor of a database.
+   *
+   * @param pool The pool of the database.
+   * @param question The number of the question.
+   */
+  record FloorQuestion(String pool, long question) implements PeerMessage {}
+
+  /**
+   * Answers with the latest floor of a database.
+   *
+   * @param question The number of the question.
+   * @param position The position of the floor.
+   * @param ageMillis The age of the floor when this answer was made, in milliseconds.
+   */
+  record FloorAnswer(long question, LogPosition position, long ageMillis) implements PeerMessage {}
+
   /**
    * Encodes a datagram.
    *
@@ -71,6 +89,15 @@
         case Answer answer ->
             packer.packInt(2).packLong(answer.question).packBoolean(answer.reachable);
         case Takeover takeover -> packer.packInt(3).packString(takeover.pool);
+        case FloorQuestion question ->
+            packer.packInt(4).packString(question.pool).packLong(question.question);
+        case FloorAnswer answer ->
+            packer
+                .packInt(5)
+                .packLong(answer.question)
+                .packLong(answer.position.term())
+                .packLong(answer.position.index())
+                .packLong(answer.ageMillis);
       }
       return packer.toByteArray();
     } catch (IOException exception) {
@@ -100,6 +127,12 @@
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
             case 2 -> new Answer(unpacker.unpackLong(), unpacker.unpackBoolean());
             case 3 -> new Takeover(unpacker.unpackString());
+            case 4 -> new FloorQuestion(unpacker.unpackString(), unpacker.unpackLong());
+            case 5 ->
+                new FloorAnswer(
+                    unpacker.unpackLong(),
+                    new LogPosition(unpacker.unpackLong(), unpacker.unpackLong()),
+                    unpacker.unpackLong());
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import org.hickoryshed.decision.topology.LogPosition;
 import org.junit.jupiter.api.Test;
 
 /** Tests of the datagrams between proxies. */
@@ -14,7 +15,9 @@
           new PeerMessage.Heartbeat("b00t", 17, 23),
           new PeerMessage.Question("orders", "m1", 3),
           new PeerMessage.Answer(3, true),
-          new PeerMessage.Takeover("orders"));
+          new PeerMessage.Takeover("orders"),
+          new PeerMessage.FloorQuestion("orders", 4),
+          new PeerMessage.FloorAnswer(4, new LogPosition(2, 1207), 35));
 
   @Test
   void readsWhatItWrites() {
