--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/http/HttpCaller.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/HttpCaller.java
@@ -1,6 +1,5 @@
 package org.hickoryshed.client.http;
 
-import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.URI;
@@ -9,7 +8,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.hickoryshed.kernel.json.Json;
 import org.hickoryshed.kernel.result.Result;
 
@@ -25,6 +28,9 @@
   /** The longest time to wait for a connection. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
+  /** The time that a reply may take beyond the timeout of its request. */
+  private static final Duration REPLY_MARGIN = Duration.ofMillis(50);
+
   /** The underlying client. */
   private final HttpClient client;
 
@@ -69,29 +75,50 @@
     if (headers.length > 0) {
       builder.headers(headers);
     }
-    return send(builder.build());
+    return send(builder.build(), timeout);
   }
 
   /**
    * Sends a request.
    *
+   * <p>The timeout of the request ends with the headers of the reply, so the wait for the whole
+   * reply has a bound of its own.
+   *
    * @param request The request.
+   * @param timeout The longest time to wait for the whole reply.
    * @return The reply or the reason why there is none.
    */
-  private Result<Reply, CallFailure> send(HttpRequest request) {
+  private Result<Reply, CallFailure> send(HttpRequest request, Duration timeout) {
+    CompletableFuture<HttpResponse<byte[]>> pending =
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
     try {
-      HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+      HttpResponse<byte[]> response =
+          pending.get(timeout.toMillis() + REPLY_MARGIN.toMillis(), TimeUnit.MILLISECONDS);
       return Result.success(new Reply(response.statusCode(), response.body(), response.headers()));
-    } catch (HttpConnectTimeoutException | ConnectException exception) {
-      return Result.failure(new CallFailure.NotSent(exception.toString()));
-    } catch (IOException exception) {
-      return Result.failure(new CallFailure.NoAnswer(exception.toString()));
+    } catch (ExecutionException exception) {
+      return Result.failure(failure(exception.getCause()));
+    } catch (TimeoutException exception) {
+      pending.cancel(true);
+      return Result.failure(new CallFailure.NoAnswer("the reply did not end in time"));
     } catch (InterruptedException exception) {
+      pending.cancel(true);
       Thread.currentThread().interrupt();
       return Result.failure(new CallFailure.NoAnswer("interrupted"));
     }
   }
 
+  /**
+   * Tells whether a request that failed may have been sent.
+   *
+   * @param cause Why it failed.
+   * @return The failure.
+   */
+  private static CallFailure failure(Throwable cause) {
+    return cause instanceof HttpConnectTimeoutException || cause instanceof ConnectException
+        ? new CallFailure.NotSent(cause.toString())
+        : new CallFailure.NoAnswer(String.valueOf(cause));
+  }
+
   /**
    * Returns a publisher of a body.
    *
--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
@@ -24,6 +24,24 @@
     long bornMillis,
     long revision) {
 
+  /**
+   * Returns the IP number of the address.
+   *
+   * @return The IP number.
+   */
+  public String host() {
+    return address.substring(0, address.lastIndexOf(':'));
+  }
+
+  /**
+   * Returns the port of the address.
+   *
+   * @return The port.
+   */
+  public int port() {
+    return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+  }
+
   /**
    * Checks if another entry describes the same run of the same member.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
@@ -447,7 +447,11 @@
       refuse(FailureKind.NOT_PRIMARY, "the transaction only reads");
       return;
     }
-    StatementRun run = new StatementRun(gateway, this, route.get(), transaction, request, access);
+    StatementRun run =
+        new StatementRun(
+            gateway,
+            new StatementCall(
+                this, route.get(), transaction, request, access, gateway.loop().moment()));
     running = Optional.of(run);
     run.start();
   }
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
@@ -0,0 +1,159 @@
+package org.hickoryshed.session.caller;
+
+import java.util.Optional;
+import org.hickoryshed.decision.directory.DatabaseRoute;
+import org.hickoryshed.decision.freshness.Moment;
+import org.hickoryshed.decision.statement.Access;
+import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.decision.statement.Statement;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.member.Database;
+import org.hickoryshed.session.member.MemberAnswer;
+import org.hickoryshed.session.member.MemberConnection;
+import org.hickoryshed.session.wire.CallerMessage;
+import org.hickoryshed.session.wire.WireFormat;
+
+/**
+ * A statement of a caller and what it belongs to.
+ *
+ * @param session The session.
+ * @param route The route.
+ * @param transaction The transaction that the statement belongs to, if any.
+ * @param request The request of the caller.
+ * @param access Whether the statement reads or writes.
+ * @param arrived The moment at which the statement arrived.
+ */
+record StatementCall(
+    CallerSession session,
+    DatabaseRoute route,
+    Optional<Transaction> transaction,
+    CallerMessage.Request request,
+    Access access,
+    Moment arrived) {
+
+  /**
+   * Checks if the statement commits a transaction.
+   *
+   * @return {@code true} if it is a commit.
+   */
+  boolean commits() {
+    return request.statement() instanceof Statement.Commit;
+  }
+
+  /**
+   * Checks if the statement is a single read, which may be repeated.
+   *
+   * @return {@code true} if it reads outside of a transaction.
+   */
+  boolean isSingleRead() {
+    return transaction.isEmpty() && access == Access.READ;
+  }
+
+  /**
+   * Checks if a success of the statement makes writes last.
+   *
+   * @return {@code true} if it is a single write or commits a transaction that may have written.
+   */
+  boolean makesWritesLast() {
+    return commits()
+        ? transaction.map(Transaction::wrote).orElse(false)
+        : transaction.isEmpty() && access == Access.WRITE;
+  }
+
+  /**
+   * Finds what a caller is told when the answer to the statement is missing.
+   *
+   * <p>A transaction whose commit was not sent is rolled back for sure.
+   *
+   * @param mayHaveRun True if the statement was sent to a member.
+   * @return The kind of failure, which promises nothing that is not sure.
+   */
+  FailureKind whenAnswerIsMissing(boolean mayHaveRun) {
+    if (mayHaveRun && makesWritesLast()) {
+      return FailureKind.UNKNOWN_OUTCOME;
+    }
+    if (transaction.isPresent()) {
+      return FailureKind.ROLLED_BACK;
+    }
+    return mayHaveRun ? FailureKind.TIMED_OUT : FailureKind.OVERLOADED;
+  }
+
+  /**
+   * Checks if any member with a fresh enough log may answer.
+   *
+   * @return {@code false} if only the primary may answer.
+   */
+  boolean mayRunAnywhere() {
+    return transaction.map(Transaction::readOnly).orElse(access == Access.READ)
+        && route.freshness() != DatabaseRoute.Freshness.PRIMARY;
+  }
+
+  /**
+   * Finds the position that the log of any member must hold to answer the statement.
+   *
+   * @param database The database.
+   * @return The position, or an empty optional if only the primary may answer.
+   */
+  Optional<LogPosition> requiredPosition(Database database) {
+    if (!mayRunAnywhere()) {
+      return Optional.empty();
+    }
+    Moment firstByte = transaction.map(Transaction::firstByte).orElse(arrived);
+    Optional<LogPosition> own =
+        route.freshness() == DatabaseRoute.Freshness.READ_YOUR_WRITES
+            ? session.ownCommit()
+            : Optional.empty();
+    return database.floors().required(firstByte, route.maximumAgeMillis(), own);
+  }
+
+  /**
+   * Keeps what a success tells of the log: a floor if it proves the lead of the member, and the
+   * last commit of the session.
+   *
+   * @param done The answer.
+   * @param asPrimary True if the statement was sent to the member as the primary.
+   * @param database The database, if its pool still has members.
+   */
+  void noteSuccess(MemberAnswer.Done done, boolean asPrimary, Optional<Database> database) {
+    if (done.position().isEmpty()) {
+      return;
+    }
+    LogPosition position = done.position().get();
+    boolean committed = makesWritesLast();
+    boolean provesLead =
+        committed || (!commits() && transaction.map(Transaction::provesLead).orElse(asPrimary));
+    if (provesLead) {
+      database.ifPresent(known -> known.addFloor(done.asked(), position));
+    }
+    if (committed) {
+      session.noteCommit(position);
+    }
+  }
+
+  /**
+   * Brings a member's session to the state that the statement relies on.
+   *
+   * @param connection The connection to the member.
+   * @return The name of the prepared statement at the member, if one is executed.
+   */
+  Optional<String> prepare(MemberConnection connection) {
+    connection.adopt(session.state());
+    return request.statement() instanceof Statement.Execute execute
+        ? session.state().shape(execute.name()).map(connection::prepare)
+        : Optional.empty();
+  }
+
+  /**
+   * Writes the text of the statement for a member; a prepared statement is renamed.
+   *
+   * @param connection The connection to the member.
+   * @param format The format of the messages.
+   * @return The text.
+   */
+  String textFor(MemberConnection connection, WireFormat format) {
+    Optional<String> name = prepare(connection);
+    return name.isPresent() && request.statement() instanceof Statement.Execute execute
+        ? format.executeText(name.get(), execute.arguments())
+        : request.text();
+  }
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -1,24 +1,19 @@
 package org.hickoryshed.session.caller;
 
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
-import org.hickoryshed.decision.directory.DatabaseRoute;
-import org.hickoryshed.decision.freshness.Moment;
 import org.hickoryshed.decision.statement.Access;
 import org.hickoryshed.decision.statement.FailureKind;
-import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
 import org.hickoryshed.decision.topology.LogPosition;
-import org.hickoryshed.session.journal.LogLine;
+import org.hickoryshed.session.member.Borrower;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberAnswer;
 import org.hickoryshed.session.member.MemberConnection;
 import org.hickoryshed.session.member.MemberPool;
 import org.hickoryshed.session.member.SessionState;
 import org.hickoryshed.session.net.EventLoop;
-import org.hickoryshed.session.wire.CallerMessage;
 
 /**
  * The way of one statement to a member and back.
@@ -26,7 +21,7 @@
  * <p>A statement that surely did not run is sent elsewhere while time remains. A read is repeated
  * when its answer is lost; a write or commit never is.
  */
-final class StatementRun implements MemberPool.Borrower {
+final class StatementRun implements Borrower {
 
   /** The pause before a statement looks for a member again, in milliseconds. */
   private static final long LOOK_AGAIN_MILLIS = 15;
@@ -42,51 +37,36 @@
   /** The number of times that a read is sent at most. */
   private static final int READ_ATTEMPTS = 3;
 
-  /** The bits of the hash of an identifier that are zero for a logged success: one in 64. */
-  private static final int SAMPLE_MASK = 63;
-
   /** What the answer to a refused statement says. */
   private static final String COME_BACK = "not run; try again in 100 ms";
 
-  /** Nanoseconds in a millisecond. */
-  private static final long NANOS_IN_MILLI = 1_000_000;
-
   /** The process that serves the session. */
   private final Gateway gateway;
 
   /** The session. */
   private final CallerSession session;
 
-  /** The route. */
-  private final DatabaseRoute route;
+  /** The statement and what it belongs to. */
+  private final StatementCall call;
+
+  /** What the log and the metrics tell. */
+  private final StatementReport report;
 
   /** The transaction that the statement belongs to, if any. */
   private final Optional<Transaction> transaction;
 
-  /** The request of the caller. */
-  private final CallerMessage.Request request;
-
-  /** Whether the statement reads or writes. */
-  private final Access access;
-
-  /** The moment at which the statement arrived. */
-  private final Moment arrived;
-
   /** The identifiers of the members that are not tried again. */
   private final Set<String> excluded = new HashSet<>();
 
   /** Ends the statement when its time is over. */
   private EventLoop.Timer deadline;
 
-  /** Ends the present attempt. */
-  private Optional<EventLoop.Timer> attemptTimer = Optional.empty();
+  /** Ends the present attempt, or the pause before the next one. */
+  private final AttemptTimer attemptTimer;
 
   /** The reading of the steady clock when a connection was asked for, in nanoseconds. */
   private long borrowed;
 
-  /** The reading of the steady clock when the present attempt began, in nanoseconds. */
-  private long attemptStarted;
-
   /** The pool that the statement waits for or runs at. */
   private Optional<MemberPool> pool = Optional.empty();
 
@@ -99,9 +79,6 @@
   /** True once a fresh floor was asked for. */
   private boolean askedForFloor;
 
-  /** Why the last attempt failed. */
-  private String retryReason = "";
-
   /** The number of the present attempt; answers to older ones are dropped. */
   private int attempt;
 
@@ -118,34 +95,24 @@
    * Creates a new run.
    *
    * @param gateway The process that serves the session.
-   * @param session The session.
-   * @param route The route.
-   * @param transaction The transaction that the statement belongs to, if any.
-   * @param request The request of the caller.
-   * @param access Whether the statement reads or writes.
+   * @param call The statement and what it belongs to.
    */
-  StatementRun(
-      Gateway gateway,
-      CallerSession session,
-      DatabaseRoute route,
-      Optional<Transaction> transaction,
-      CallerMessage.Request request,
-      Access access) {
+  StatementRun(Gateway gateway, StatementCall call) {
     this.gateway = gateway;
-    this.session = session;
-    this.route = route;
-    this.transaction = transaction;
-    this.request = request;
-    this.access = access;
-    arrived = gateway.loop().moment();
+    this.call = call;
+    session = call.session();
+    transaction = call.transaction();
+    report = new StatementReport(gateway, call);
+    attemptTimer = new AttemptTimer(gateway.loop(), this::onAttemptTimeout);
   }
 
   /** Starts this run. */
   void start() {
-    deadline = gateway.loop().schedule(route.statementTimeoutMillis(), this::onDeadline);
+    deadline = gateway.loop().schedule(call.route().statementTimeoutMillis(), this::onDeadline);
     Optional<MemberConnection> bound = transaction.flatMap(Transaction::connection);
     if (bound.isPresent()) {
       pool = Optional.of(bound.get().pool());
+      report.chosen(bound.get().pool(), Optional.empty());
       connection = bound;
       attempt++;
       if (bound.get().isClosed()) {
@@ -167,7 +134,7 @@
 
   @Override
   public int priority() {
-    return route.priority();
+    return call.route().priority();
   }
 
   @Override
@@ -178,23 +145,31 @@
   @Override
   public void onUnavailable() {
     if (!finished) {
-      cancelAttemptTimer();
+      attemptTimer.cancel();
       lookAgain("member unavailable");
     }
   }
 
   @Override
   public void onConnection(MemberConnection lent) {
-    cancelAttemptTimer();
-    gateway.metrics().duration("connection_wait", gateway.loop().now() - borrowed);
+    attemptTimer.cancel();
+    report.waitedForConnection(gateway.loop().now() - borrowed);
     connection = Optional.of(lent);
-    prepareFor(lent);
+    call.prepare(lent);
     if (transaction.isPresent()) {
-      beginTransaction(lent, transaction.get());
-    } else if (access == Access.READ && required.isEmpty()) {
-      int current = attempt;
-      lent.begin(false, Optional.empty(), answer -> onGuardBegun(current, answer));
-      startAttemptTimer(READ_ATTEMPT_MILLIS);
+      begin(
+          lent,
+          () -> {
+            transaction.get().bind(lent, required.isEmpty());
+            forward(Optional.empty());
+          });
+    } else if (call.access() == Access.READ && required.isEmpty()) {
+      begin(
+          lent,
+          () -> {
+            forward(Optional.empty());
+            lent.rollback();
+          });
     } else {
       forward(required);
     }
@@ -208,13 +183,13 @@
     attempt++;
     connection = Optional.empty();
     pool = Optional.empty();
-    Optional<Database> database = gateway.database(route);
+    Optional<Database> database = gateway.database(call.route());
     if (database.isEmpty()) {
       lookAgain("no members");
       return;
     }
-    required = requiredPosition(database.get());
-    if (required.isEmpty() && readsAnywhere() && !askedForFloor) {
+    required = call.requiredPosition(database.get());
+    if (required.isEmpty() && call.mayRunAnywhere() && !askedForFloor) {
       askedForFloor = true;
       int current = attempt;
       database
@@ -237,93 +212,45 @@
       return;
     }
     if (reader.isPresent()) {
-      startAttemptTimer(BORROW_MILLIS);
+      attemptTimer.start(BORROW_MILLIS);
     }
+    report.chosen(pool.get(), required);
     borrowed = gateway.loop().now();
     pool.get().borrow(this);
   }
 
   /**
-   * Checks if any member with a fresh enough log may answer.
+   * Begins a transaction at a member and goes on once the member took it.
    *
-   * @return {@code false} if only the primary may answer.
-   */
-  private boolean readsAnywhere() {
-    return transaction.map(Transaction::readOnly).orElse(access == Access.READ)
-        && route.freshness() != DatabaseRoute.Freshness.PRIMARY;
-  }
-
-  /**
-   * Finds the position that the log of any member must hold to answer this statement.
-   *
-   * @param database The database.
-   * @return The position, or an empty optional if only the primary may answer.
-   */
-  private Optional<LogPosition> requiredPosition(Database database) {
-    if (!readsAnywhere()) {
-      return Optional.empty();
-    }
-    Moment firstByte = transaction.map(Transaction::firstByte).orElse(arrived);
-    Optional<LogPosition> own =
-        route.freshness() == DatabaseRoute.Freshness.READ_YOUR_WRITES
-            ? session.ownCommit()
-            : Optional.empty();
-    return database.floors().required(firstByte, route.maximumAgeMillis(), own);
-  }
-
-  /**
-   * Begins the transaction of the caller at a member.
+   * <p>A statement behind a begin that is refused would run outside of the transaction, so the
+   * answer is awaited.
    *
    * @param lent The connection.
-   * @param open The transaction.
+   * @param begun What follows.
    */
-  private void beginTransaction(MemberConnection lent, Transaction open) {
+  private void begin(MemberConnection lent, Runnable begun) {
     int current = attempt;
-    lent.begin(required.isPresent(), required, answer -> onBegun(current, open, answer));
-    startAttemptTimer(READ_ATTEMPT_MILLIS);
-  }
-
-  /**
-   * Handles the answer to the begin of the caller's transaction.
-   *
-   * @param of The attempt that the answer belongs to.
-   * @param open The transaction.
-   * @param answer The answer.
-   */
-  private void onBegun(int of, Transaction open, MemberAnswer answer) {
-    if (finished || of != attempt) {
-      return;
-    }
-    cancelAttemptTimer();
-    switch (answer) {
-      case MemberAnswer.Done done -> {
-        open.bind(connection.orElseThrow(), required.isEmpty());
-        forward(Optional.empty());
-      }
-      case MemberAnswer.Failed failed -> onNotRun(failed.kind());
-      case MemberAnswer.Lost lost -> {
-        connection = Optional.empty();
-        lookAgain("begin lost: " + lost.reason());
-      }
-    }
+    lent.begin(
+        required.isPresent(),
+        required,
+        answer -> {
+          if (!finished && current == attempt) {
+            attemptTimer.cancel();
+            onBegun(answer, begun);
+          }
+        });
+    attemptTimer.start(READ_ATTEMPT_MILLIS);
   }
 
   /**
-   * Handles the answer to the begin that guards a read at the primary.
+   * Handles the answer to a begin.
    *
-   * @param of The attempt that the answer belongs to.
    * @param answer The answer.
+   * @param begun What follows a success.
    */
-  private void onGuardBegun(int of, MemberAnswer answer) {
-    if (finished || of != attempt) {
-      return;
-    }
-    cancelAttemptTimer();
+  private void onBegun(MemberAnswer answer, Runnable begun) {
     switch (answer) {
-      case MemberAnswer.Done done -> {
-        forward(Optional.empty());
-        connection.ifPresent(MemberConnection::rollback);
-      }
+      case MemberAnswer.Done done -> begun.run();
       case MemberAnswer.Failed failed -> onNotRun(failed.kind());
       case MemberAnswer.Lost lost -> {
         connection = Optional.empty();
@@ -339,53 +266,20 @@
    */
   private void forward(Optional<LogPosition> position) {
     MemberConnection bound = connection.orElseThrow();
-    if (access == Access.WRITE) {
+    if (call.access() == Access.WRITE) {
       transaction.ifPresent(Transaction::noteWrite);
     }
     sent++;
+    report.sent();
     atMember = true;
-    String text = textFor(bound);
+    String text = call.textFor(bound, gateway.format());
     int current = attempt;
-    bound.forward(request.id(), position, text, answer -> onAnswer(current, answer));
-    if (transaction.isEmpty() && access == Access.READ && sent < READ_ATTEMPTS) {
-      startAttemptTimer(READ_ATTEMPT_MILLIS);
+    bound.forward(call.request().id(), position, text, answer -> onAnswer(current, answer));
+    if (call.isSingleRead() && sent < READ_ATTEMPTS) {
+      attemptTimer.start(READ_ATTEMPT_MILLIS);
     }
   }
 
-  /**
-   * Writes the text of the statement for a member; a prepared statement is renamed.
-   *
-   * @param bound The connection to the member.
-   * @return The text.
-   */
-  private String textFor(MemberConnection bound) {
-    return prepareFor(bound)
-        .map(name -> gateway.format().executeText(name, arguments()))
-        .orElseGet(request::text);
-  }
-
-  /**
-   * Brings a member's session to the state that the statement relies on.
-   *
-   * @param bound The connection to the member.
-   * @return The name of the prepared statement at the member, if one is executed.
-   */
-  private Optional<String> prepareFor(MemberConnection bound) {
-    bound.adopt(session.state());
-    return request.statement() instanceof Statement.Execute execute
-        ? session.state().shape(execute.name()).map(bound::prepare)
-        : Optional.empty();
-  }
-
-  /**
-   * Returns the arguments of the execution of a prepared statement.
-   *
-   * @return The arguments as the caller wrote them.
-   */
-  private String arguments() {
-    return request.statement() instanceof Statement.Execute execute ? execute.arguments() : "";
-  }
-
   /**
    * Handles the answer of a member.
    *
@@ -397,7 +291,7 @@
       return;
     }
     atMember = false;
-    cancelAttemptTimer();
+    attemptTimer.cancel();
     switch (answer) {
       case MemberAnswer.Done done when done.proof().isEmpty() -> {
         connection.ifPresent(broken -> broken.abort("an answer came without its proof"));
@@ -415,34 +309,10 @@
    * @param done The answer.
    */
   private void onDone(MemberAnswer.Done done) {
-    gateway.metrics().duration("member_answer", gateway.loop().now() - done.asked().steadyNanos());
-    gateway
-        .metrics()
-        .counter("member_answers", "role", required.isPresent() ? "any" : "primary")
-        .inc();
-    boolean commits = request.statement() instanceof Statement.Commit;
-    boolean committed =
-        commits
-            ? transaction.map(Transaction::wrote).orElse(false)
-            : transaction.isEmpty() && access == Access.WRITE;
-    boolean provesLead =
-        committed
-            || (!commits && transaction.map(Transaction::provesLead).orElse(required.isEmpty()));
-    done.position()
-        .ifPresent(
-            position -> {
-              if (provesLead) {
-                gateway.database(route).ifPresent(base -> base.addFloor(done.asked(), position));
-              }
-              if (committed) {
-                session.noteCommit(position);
-              }
-            });
-    end("done");
-    if ((request.id().hashCode() & SAMPLE_MASK) == 0) {
-      line("statement-done").write();
-    }
-    if (transaction.isPresent() && !commits) {
+    call.noteSuccess(done, required.isEmpty(), gateway.database(call.route()));
+    end();
+    report.done(done);
+    if (transaction.isPresent() && !call.commits()) {
       session.answer(done.rows(), done.proof(), TransactionState.OPEN);
       return;
     }
@@ -466,28 +336,54 @@
           default -> false;
         };
     if (transaction.isPresent()) {
-      failTransactionOf(failed);
+      if (failed.kind() == FailureKind.OVERLOADED && failed.state() == TransactionState.OPEN) {
+        forwardAgain();
+      } else {
+        giveUp(failed.kind(), failed.text());
+      }
     } else if (notRun) {
       onNotRun(failed.kind());
+    } else if (call.isSingleRead() && sent < READ_ATTEMPTS) {
+      connection.ifPresent(MemberConnection::release);
+      tryElsewhere("failed: " + failed.kind());
     } else {
       connection.ifPresent(MemberConnection::release);
       refuse(failed.kind(), failed.text());
     }
   }
 
+  /** Sends a statement again that the member of its transaction had no slot for. */
+  private void forwardAgain() {
+    report.retried("the member of the transaction is overloaded");
+    attempt++;
+    attemptTimer.pause(LOOK_AGAIN_MILLIS, () -> forward(Optional.empty()));
+  }
+
   /**
-   * Ends the transaction whose statement failed.
+   * Sends a read to another member.
    *
-   * @param failed The answer.
+   * @param reason Why the attempt failed.
+   */
+  private void tryElsewhere(String reason) {
+    connection = Optional.empty();
+    report.retried(reason);
+    pool.ifPresent(member -> excluded.add(member.entry().id()));
+    choose();
+  }
+
+  /**
+   * Gives the statement up, and with it the transaction that it belongs to.
+   *
+   * @param kind How the statement failed.
+   * @param text A text for people.
    */
-  private void failTransactionOf(MemberAnswer.Failed failed) {
-    boolean commits = request.statement() instanceof Statement.Commit;
-    if (commits) {
+  private void giveUp(FailureKind kind, String text) {
+    if (call.commits()) {
       session.endTransaction();
-    } else {
-      session.failTransaction(failed.kind());
+    } else if (transaction.isPresent()) {
+      session.failTransaction(kind);
     }
-    refuse(failed.kind(), failed.text());
+    refuse(kind, text);
   }
 
   /**
@@ -504,14 +400,14 @@
               member.noteBehind(LOOK_AGAIN_MILLIS * 4);
             }
             case NOT_PRIMARY ->
-                gateway.database(route).ifPresent(database -> database.noteLostLead(member));
+                gateway.database(call.route()).ifPresent(database -> database.noteLostLead(member));
             default -> gateway.metrics().counter("member_refusals", "kind", kind.name()).inc();
           }
         });
     connection.ifPresent(MemberConnection::release);
     connection = Optional.empty();
     if (kind == FailureKind.BEHIND) {
-      noteRetry("the member is behind");
+      report.retried("the member is behind");
       choose();
     } else {
       lookAgain("refused: " + kind);
@@ -524,24 +420,11 @@
    * @param reason What happened to the connection.
    */
   private void onLost(String reason) {
-    connection = Optional.empty();
-    boolean commits = request.statement() instanceof Statement.Commit;
-    if (transaction.isPresent()) {
-      boolean unknown = commits && sent > 0 && transaction.get().wrote();
-      if (commits) {
-        session.endTransaction();
-      } else {
-        session.failTransaction(FailureKind.ROLLED_BACK);
-      }
-      refuse(unknown ? FailureKind.UNKNOWN_OUTCOME : FailureKind.ROLLED_BACK, reason);
-    } else if (access == Access.WRITE) {
-      refuse(FailureKind.UNKNOWN_OUTCOME, reason);
-    } else if (sent < READ_ATTEMPTS) {
-      noteRetry("answer lost: " + reason);
-      pool.ifPresent(member -> excluded.add(member.entry().id()));
-      choose();
+    if (call.isSingleRead() && sent < READ_ATTEMPTS) {
+      tryElsewhere("answer lost: " + reason);
     } else {
-      refuse(FailureKind.TIMED_OUT, reason);
+      connection = Optional.empty();
+      giveUp(call.whenAnswerIsMissing(sent > 0), reason);
     }
   }
 
@@ -551,23 +434,10 @@
    * @param reason Why none was found.
    */
   private void lookAgain(String reason) {
-    noteRetry(reason);
+    report.retried(reason);
     attempt++;
     excluded.clear();
-    attemptTimer = Optional.of(gateway.loop().schedule(LOOK_AGAIN_MILLIS, this::choose));
-  }
-
-  /**
-   * Logs that the statement is tried again, once for each reason in a row.
-   *
-   * @param reason Why the attempt failed.
-   */
-  private void noteRetry(String reason) {
-    if (!reason.equals(retryReason)) {
-      retryReason = reason;
-      line("statement-retried").with("reason", reason).write();
-      gateway.metrics().counter("statement_retries", "freshness", route.freshness().name()).inc();
-    }
+    attemptTimer.pause(LOOK_AGAIN_MILLIS, this::choose);
   }
 
   /** Ends an attempt that takes too long and tries another member. */
@@ -575,9 +445,9 @@
     if (finished) {
       return;
     }
-    noteRetry("no answer in time");
+    report.retried("no answer in time");
     if (connection.isPresent()) {
-      pool.ifPresent(member -> member.noteTimeout(attemptStarted));
+      pool.ifPresent(member -> member.noteTimeout(attemptTimer.started()));
     }
     pool.ifPresent(member -> excluded.add(member.entry().id()));
     leaveAttempt();
@@ -586,7 +456,7 @@
 
   /** Leaves the queue or the connection of the present attempt. */
   private void leaveAttempt() {
-    cancelAttemptTimer();
+    attemptTimer.cancel();
     attempt++;
     if (transaction.flatMap(Transaction::connection).isPresent()) {
       return;
@@ -605,23 +475,8 @@
       return;
     }
     boolean wasAtMember = atMember;
-    boolean commits = request.statement() instanceof Statement.Commit;
     leaveAttempt();
-    if (transaction.isPresent()) {
-      boolean unknown = wasAtMember && commits && transaction.get().wrote();
-      if (commits) {
-        session.endTransaction();
-      } else {
-        session.failTransaction(FailureKind.ROLLED_BACK);
-      }
-      refuse(unknown ? FailureKind.UNKNOWN_OUTCOME : FailureKind.ROLLED_BACK, "out of time");
-    } else if (!wasAtMember) {
-      refuse(FailureKind.OVERLOADED, COME_BACK);
-    } else if (access == Access.WRITE) {
-      refuse(FailureKind.UNKNOWN_OUTCOME, "out of time");
-    } else {
-      refuse(FailureKind.TIMED_OUT, "out of time");
-    }
+    giveUp(call.whenAnswerIsMissing(wasAtMember), wasAtMember ? "out of time" : COME_BACK);
   }
 
   /**
@@ -631,64 +486,15 @@
    * @param text A text for people.
    */
   private void refuse(FailureKind kind, String text) {
-    end(kind.name());
-    line("statement-failed").with("kind", kind).with("text", text).write();
+    end();
+    report.failed(kind, text);
     session.refuse(kind, text);
   }
 
-  /**
-   * Ends this run.
-   *
-   * @param outcome The outcome for the metrics.
-   */
-  private void end(String outcome) {
+  /** Ends this run. */
+  private void end() {
     finished = true;
     deadline.cancel();
-    cancelAttemptTimer();
-    gateway.metrics().counter("statements", "outcome", outcome).inc();
-    gateway
-        .metrics()
-        .duration(
-            "statement_" + route.freshness().name().toLowerCase(Locale.ROOT),
-            gateway.loop().now() - arrived.steadyNanos());
-  }
-
-  /**
-   * Starts a line of the log about this statement.
-   *
-   * @param event The name of the event.
-   * @return The line.
-   */
-  private LogLine line(String event) {
-    return gateway
-        .log()
-        .event(event)
-        .with("request", request.id())
-        .with("database", route.database())
-        .with("pool", route.pool())
-        .with("access", access)
-        .with("in-transaction", transaction.isPresent())
-        .with("member", pool.map(member -> member.entry().id()).orElse("none"))
-        .with("required", required.map(LogPosition::toString).orElse("none"))
-        .with("sent", sent)
-        .with("waited-ms", (gateway.loop().now() - arrived.steadyNanos()) / NANOS_IN_MILLI)
-        .with("desired-version", gateway.desired().version());
-  }
-
-  /**
-   * Starts the timer of the present attempt.
-   *
-   * @param millis The longest time of the attempt in milliseconds.
-   */
-  private void startAttemptTimer(long millis) {
-    cancelAttemptTimer();
-    attemptStarted = gateway.loop().now();
-    attemptTimer = Optional.of(gateway.loop().schedule(millis, this::onAttemptTimeout));
-  }
-
-  /** Cancels the timer of the present attempt. */
-  private void cancelAttemptTimer() {
-    attemptTimer.ifPresent(EventLoop.Timer::cancel);
-    attemptTimer = Optional.empty();
+    attemptTimer.cancel();
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -181,7 +181,7 @@
   public Optional<MemberPool> reader(Set<String> excluded) {
     return members.values().stream()
         .map(member -> member.pool)
-        .filter(pool -> pool.isUsable() && !pool.isBehind())
+        .filter(pool -> pool.isUsable())
         .filter(pool -> !excluded.contains(pool.entry().id()))
         .min(Comparator.comparingDouble(this::estimate));
   }
@@ -233,7 +233,7 @@
     }
     if (primary.isPresent()) {
       askingPrimary = true;
-      primary.get().askPosition(FLOOR_MILLIS, this::onPrimaryAnswer);
+      primary.get().inquiry().askPosition(FLOOR_MILLIS, this::onPrimaryAnswer);
     } else {
       context.loop().schedule(FLOOR_MILLIS, this::runFloorWaiters);
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Errand.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Errand.java
@@ -6,7 +6,7 @@
 import org.hickoryshed.session.net.EventLoop;
 
 /** A statement of this proxy to a member, with a bound on its time. */
-final class Errand implements MemberPool.Borrower {
+final class Errand implements Borrower {
 
   /** The priority before all statements of callers. */
   private static final int FIRST = -1;
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -2,16 +2,13 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.hickoryshed.decision.freshness.Moment;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
@@ -47,7 +44,7 @@
   private final EventLoop loop;
 
   /** The exchanges whose answers are outstanding, in the order in which they were sent. */
-  private final Deque<Exchange> exchanges = new ArrayDeque<>();
+  private final Deque<MemberExchange> exchanges = new ArrayDeque<>();
 
   /** The session values that the member holds. */
   private final Map<String, String> values = new HashMap<>();
@@ -310,7 +307,7 @@
   public void onClosed(String reason) {
     releaseTimer.ifPresent(EventLoop.Timer::cancel);
     pool.onConnectionClosed(this, opened, reason);
-    for (Exchange next = exchanges.poll(); next != null; next = exchanges.poll()) {
+    for (MemberExchange next = exchanges.poll(); next != null; next = exchanges.poll()) {
       next.deliverOnClose(reason);
     }
   }
@@ -321,21 +318,20 @@
    * @param message The message.
    */
   private void onMessage(MemberMessage message) {
-    Exchange current = exchanges.peek();
+    MemberExchange current = exchanges.peek();
     switch (message) {
       case MemberMessage.Ready ready -> onMemberReady(ready);
       case MemberMessage.Failure failure when !opened ->
           refuseOpening(failure.kind(), failure.text());
-      case MemberMessage.Row row when current != null && current.end == null -> {
+      case MemberMessage.Row row when current != null && !current.hasEnded() -> {
         current.addRow(row.data());
-        if (current.rowBytes > ANSWER_LIMIT) {
+        if (current.rowBytes() > ANSWER_LIMIT) {
           abort("an answer is too large");
         }
       }
-      case MemberMessage.Done done when current != null && current.end == null ->
-          current.end = done;
-      case MemberMessage.Failure failure when current != null && current.end == null ->
-          current.end = failure;
+      case MemberMessage.Done done when current != null && !current.hasEnded() -> current.end(done);
+      case MemberMessage.Failure failure when current != null && !current.hasEnded() ->
+          current.end(failure);
       default -> abort("the member sent an unexpected message");
     }
   }
@@ -365,14 +361,14 @@
       pool.onOpened(this);
       return;
     }
-    Exchange current = exchanges.peek();
-    if (current == null || current.end == null) {
+    MemberExchange current = exchanges.peek();
+    if (current == null || !current.hasEnded()) {
       abort("the member ended an answer without its outcome");
       return;
     }
     exchanges.poll();
-    pool.onAnswer(loop.now() - current.asked.steadyNanos());
-    if (current.mustSucceed && current.end instanceof MemberMessage.Failure) {
+    pool.onAnswer(loop.now() - current.asked().steadyNanos());
+    if (current.hasFailedBadly()) {
       abort("the member refused the state of a session");
       return;
     }
@@ -418,86 +414,6 @@
    * @param mustSucceed True if the connection is useless when the statement fails.
    */
   private void expect(Consumer<MemberAnswer> receiver, boolean mustSucceed) {
-    exchanges.add(new Exchange(loop.moment(), receiver, mustSucceed));
-  }
-
-  /** A statement that was sent and its answer as far as it has arrived. */
-  private static final class Exchange {
-
-    /** The moment at which the statement was sent. */
-    private final Moment asked;
-
-    /** The receiver of the answer. */
-    private final Consumer<MemberAnswer> receiver;
-
-    /** True if the connection is useless when the statement fails. */
-    private final boolean mustSucceed;
-
-    /** The rows that have arrived. */
-    private final List<String> rows = new ArrayList<>(1);
-
-    /** The number of bytes of these rows. */
-    private long rowBytes;
-
-    /** The outcome, or {@code null} while it has not arrived. */
-    private MemberMessage end;
-
-    /**
-     * Creates a new exchange.
-     *
-     * @param asked The moment at which the statement was sent.
-     * @param receiver The receiver of the answer.
-     * @param mustSucceed True if the connection is useless when the statement fails.
-     */
-    private Exchange(Moment asked, Consumer<MemberAnswer> receiver, boolean mustSucceed) {
-      this.asked = asked;
-      this.receiver = receiver;
-      this.mustSucceed = mustSucceed;
-    }
-
-    /**
-     * Adds a row.
-     *
-     * @param data The data of the row.
-     */
-    private void addRow(String data) {
-      rows.add(data);
-      rowBytes += data.length();
-    }
-
-    /**
-     * Delivers the complete answer.
-     *
-     * @param state The state of the session at the member.
-     * @param position The position of the member's log, if it stated one.
-     */
-    private void deliver(TransactionState state, Optional<LogPosition> position) {
-      receiver.accept(
-          switch (end) {
-            case MemberMessage.Done done ->
-                new MemberAnswer.Done(rows, done.proof(), state, position, asked);
-            case MemberMessage.Failure failure ->
-                new MemberAnswer.Failed(failure.kind(), failure.text(), state);
-            default -> throw new IllegalStateException("an answer without an outcome");
-          });
-    }
-
-    /**
-     * Delivers what is known when the connection ends.
-     *
-     * @param reason What happened to the connection.
-     */
-    private void deliverOnClose(String reason) {
-      if (end instanceof MemberMessage.Done done) {
-        receiver.accept(
-            new MemberAnswer.Done(
-                rows, done.proof(), TransactionState.FAILED, Optional.empty(), asked));
-      } else if (end instanceof MemberMessage.Failure failure) {
-        receiver.accept(
-            new MemberAnswer.Failed(failure.kind(), failure.text(), TransactionState.FAILED));
-      } else {
-        receiver.accept(new MemberAnswer.Lost(reason));
-      }
-    }
+    exchanges.add(new MemberExchange(loop.moment(), receiver, mustSucceed));
   }
 }
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberInquiry.java
@@ -0,0 +1,77 @@
+package org.hickoryshed.session.member;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hickoryshed.session.wire.MemberReport;
+
+/** Asks a member on behalf of this proxy, each time within a bound. */
+public final class MemberInquiry {
+
+  /** What all pools share. */
+  private final MemberContext context;
+
+  /** The pool of the member. */
+  private final MemberPool pool;
+
+  /**
+   * Creates an inquiry.
+   *
+   * @param context What all pools share.
+   * @param pool The pool of the member.
+   */
+  MemberInquiry(MemberContext context, MemberPool pool) {
+    this.context = context;
+    this.pool = pool;
+  }
+
+  /**
+   * Finds out whether the member answers.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the result.
+   */
+  public void probe(long timeoutMillis, Consumer<Boolean> result) {
+    if (pool.isReachable()) {
+      askPosition(timeoutMillis, answer -> result.accept(answer.isPresent()));
+      return;
+    }
+    pool.tryAgain();
+    context.loop().schedule(timeoutMillis, () -> result.accept(pool.isReachable()));
+  }
+
+  /**
+   * Asks the member for the position of its log by an empty transaction that only a primary begins.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the answer, empty if none came in time.
+   */
+  public void askPosition(long timeoutMillis, Consumer<Optional<MemberAnswer>> result) {
+    new Errand(
+            context.loop(),
+            pool,
+            (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
+            result)
+        .start(timeoutMillis);
+  }
+
+  /**
+   * Asks the member for its status.
+   *
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the report, empty if the member did not answer.
+   */
+  public void askStatus(long timeoutMillis, Consumer<Optional<MemberReport>> result) {
+    new Errand(
+            context.loop(),
+            pool,
+            MemberConnection::askStatus,
+            answer ->
+                result.accept(
+                    answer
+                        .filter(MemberAnswer.Done.class::isInstance)
+                        .map(MemberAnswer.Done.class::cast)
+                        .flatMap(done -> done.rows().stream().findFirst())
+                        .flatMap(context.format()::report)))
+        .start(timeoutMillis);
+  }
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -5,14 +5,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import java.util.PriorityQueue;
-import java.util.function.Consumer;
+import java.util.concurrent.ThreadLocalRandom;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.topology.LogPosition;
-import org.hickoryshed.session.wire.MemberReport;
 
 /** The connections to one member and the statements that wait for one. */
 public final class MemberPool {
@@ -20,14 +18,11 @@
   /** The time in which a new connection must be ready, in milliseconds. */
   private static final long OPEN_TIMEOUT_MILLIS = 700;
 
-  /** The pause after a refusal for the number of connections, in milliseconds. */
-  private static final long REFUSED_PAUSE_MILLIS = 60;
+  /** The first pause after a refusal for the number of connections, in milliseconds. */
+  private static final long FIRST_REFUSED_PAUSE_MILLIS = 40;
 
-  /** The first pause before a member that failed is tried again, in milliseconds. */
-  private static final long FIRST_RETRY_MILLIS = 100;
-
-  /** The longest pause before a member that failed is tried again, in milliseconds. */
-  private static final long LONGEST_RETRY_MILLIS = 1000;
+  /** The longest pause after refusals in a row, in milliseconds. */
+  private static final long LONGEST_REFUSED_PAUSE_MILLIS = 320;
 
   /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
   private static final long IDLE_MILLIS = 1500;
@@ -38,9 +33,6 @@
   /** The number of equal shares of the connections of a member that one proxy takes at most. */
   private static final int SHARES = 2;
 
-  /** The weight of a new sample in the mean time of an answer. */
-  private static final double SAMPLE_WEIGHT = 0.1;
-
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -62,6 +54,9 @@
           Comparator.comparingInt((Ticket ticket) -> ticket.borrower.priority())
               .thenComparingLong(ticket -> ticket.number));
 
+  /** What is known of the member from its answers. */
+  private final MemberHealth health;
+
   /** The entry of the member. */
   private MemberEntry entry;
 
@@ -71,29 +66,14 @@
   /** The number of the next ticket. */
   private long nextTicket;
 
-  /** The mean time between a statement and its answer, in nanoseconds. */
-  private double meanAnswerNanos;
-
   /** The last position of the member's log that it stated. */
   private LogPosition position = LogPosition.ORIGIN;
 
-  /** False after a failure, until a connection is opened again. */
-  private boolean reachable = true;
-
-  /** The pause before the next attempt to reach a member that failed, in milliseconds. */
-  private long retryMillis = FIRST_RETRY_MILLIS;
-
   /** The reading of the steady clock until which no connection is opened. */
   private long refusedUntil;
 
-  /** True if the member refused the last new connection, so that one at a time is tried. */
-  private boolean refusedLast;
-
-  /** The reading of the steady clock until which the member is taken to be behind. */
-  private long behindUntil;
-
-  /** The reading of the steady clock when the member last answered. */
-  private long lastAnswer;
+  /** The pause after the last refusal, in milliseconds, zero after a success. */
+  private long refusedPause;
 
   /** True once the member is no longer used. */
   private boolean retired;
@@ -109,10 +89,17 @@
     this.context = context;
     this.database = database;
     this.entry = entry;
-    meanAnswerNanos = context.distanceMillis(entry.domain()) * 2 * NANOS_IN_MILLI;
     refusedUntil = context.loop().now();
-    behindUntil = refusedUntil;
-    lastAnswer = refusedUntil;
+    health = new MemberHealth(refusedUntil, context.distanceMillis(entry.domain()));
+  }
+
+  /**
+   * Returns what asks the member on behalf of this proxy.
+   *
+   * @return The inquiry.
+   */
+  public MemberInquiry inquiry() {
+    return new MemberInquiry(context, this);
   }
 
   /**
@@ -138,7 +125,9 @@
    * is gone is noticed.
    */
   void warm() {
-    if (connections.isEmpty() && context.loop().now() - refusedUntil >= 0) {
+    if (connections.isEmpty()
+        && context.loop().now() - refusedUntil >= 0
+        && context.proxies().getAsInt() < database.connectionLimit()) {
       openConnection();
     }
   }
@@ -146,10 +135,10 @@
   /**
    * Checks if statements may be sent to the member.
    *
-   * @return {@code true} if the member is reachable and does not leave.
+   * @return {@code true} if the member is reachable, not behind and does not leave.
    */
   public boolean isUsable() {
-    return reachable && !retired && !entry.draining();
+    return isReachable() && !retired && !entry.draining() && !health.isBehind(context.loop().now());
   }
 
   /**
@@ -158,16 +147,7 @@
    * @return {@code true} if the member is reachable.
    */
   public boolean isReachable() {
-    return reachable;
-  }
-
-  /**
-   * Checks if the member recently lacked a position that was asked for.
-   *
-   * @return {@code true} if another member is to be preferred.
-   */
-  boolean isBehind() {
-    return behindUntil - context.loop().now() > 0;
+    return health.isReachable();
   }
 
   /**
@@ -176,7 +156,7 @@
    * @param pauseMillis The time for which other members are preferred, in milliseconds.
    */
   public void noteBehind(long pauseMillis) {
-    behindUntil = context.loop().now() + pauseMillis * NANOS_IN_MILLI;
+    health.noteBehind(context.loop().now(), pauseMillis);
   }
 
   /**
@@ -195,7 +175,7 @@
    */
   double expectedNanos() {
     int busy = connections.size() - idle.size() - opening + waiting.size();
-    return meanAnswerNanos * (1 + busy / (double) Math.max(1, entry.slots()));
+    return health.meanAnswerNanos() * (1 + busy / (double) Math.max(1, entry.slots()));
   }
 
   /**
@@ -230,26 +210,11 @@
    * @param since The reading of the steady clock when the attempt began, in nanoseconds.
    */
   public void noteTimeout(long since) {
-    if (lastAnswer - since < 0) {
+    if (!health.hasAnsweredSince(since)) {
       markUnreachable("no answer in time");
     }
   }
 
-  /**
-   * Finds out whether the member answers.
-   *
-   * @param timeoutMillis The longest time to wait in milliseconds.
-   * @param result The receiver of the result.
-   */
-  public void probe(long timeoutMillis, Consumer<Boolean> result) {
-    if (reachable) {
-      askPosition(timeoutMillis, answer -> result.accept(answer.isPresent()));
-      return;
-    }
-    tryAgain();
-    context.loop().schedule(timeoutMillis, () -> result.accept(reachable));
-  }
-
   /**
    * Checks if a statement can be sent without waiting for a connection.
    *
@@ -259,42 +224,6 @@
     return !idle.isEmpty();
   }
 
-  /**
-   * Asks the member for the position of its log by an empty transaction that only a primary begins.
-   *
-   * @param timeoutMillis The longest time to wait in milliseconds.
-   * @param result The receiver of the answer, empty if none came in time.
-   */
-  void askPosition(long timeoutMillis, Consumer<Optional<MemberAnswer>> result) {
-    new Errand(
-            context.loop(),
-            this,
-            (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
-            result)
-        .start(timeoutMillis);
-  }
-
-  /**
-   * Asks the member for its status.
-   *
-   * @param timeoutMillis The longest time to wait in milliseconds.
-   * @param result The receiver of the report, empty if the member did not answer.
-   */
-  public void askStatus(long timeoutMillis, Consumer<Optional<MemberReport>> result) {
-    new Errand(
-            context.loop(),
-            this,
-            MemberConnection::askStatus,
-            answer ->
-                result.accept(
-                    answer
-                        .filter(MemberAnswer.Done.class::isInstance)
-                        .map(MemberAnswer.Done.class::cast)
-                        .flatMap(done -> done.rows().stream().findFirst())
-                        .flatMap(context.format()::report)))
-        .start(timeoutMillis);
-  }
-
   /** Raises a doubt if the member answers nothing for longer than an empty statement takes. */
   void watchForAnswer() {
     long since = context.loop().now();
@@ -303,7 +232,7 @@
         .schedule(
             DOUBT_MILLIS + 2 * context.distanceMillis(entry.domain()),
             () -> {
-              if (lastAnswer - since < 0 && reachable && !retired) {
+              if (!health.hasAnsweredSince(since) && isReachable() && !retired) {
                 database.onDoubt(this, "no answer to an empty statement");
               }
             });
@@ -353,10 +282,8 @@
    */
   void onOpened(MemberConnection connection) {
     opening--;
-    refusedLast = false;
-    retryMillis = FIRST_RETRY_MILLIS;
-    if (!reachable) {
-      reachable = true;
+    refusedPause = 0;
+    if (health.noteReachable()) {
       database.onReachable(this);
     }
     onReleased(connection);
@@ -369,13 +296,15 @@
    * @param text The text of the member.
    */
   void onOpeningRefused(FailureKind kind, String text) {
-    refusedUntil = context.loop().now() + REFUSED_PAUSE_MILLIS * NANOS_IN_MILLI;
-    refusedLast = true;
+    refusedPause =
+        Math.clamp(2 * refusedPause, FIRST_REFUSED_PAUSE_MILLIS, LONGEST_REFUSED_PAUSE_MILLIS);
+    long pause = ThreadLocalRandom.current().nextLong(refusedPause / 2, refusedPause);
+    refusedUntil = context.loop().now() + pause * NANOS_IN_MILLI;
     context.metrics().counter("member_refusals", "kind", kind.name()).inc();
     if (kind == FailureKind.WRONG_MEMBER) {
       markUnreachable("another member at this address: " + text);
     } else {
-      context.loop().schedule(REFUSED_PAUSE_MILLIS, this::openIfNeeded);
+      context.loop().schedule(pause, this::openIfNeeded);
     }
   }
 
@@ -395,7 +324,7 @@
         markUnreachable(reason);
       }
     }
-    if (!retired && reachable) {
+    if (!retired && isReachable()) {
       openIfNeeded();
       warm();
     }
@@ -435,8 +364,7 @@
    * @param nanos The time in nanoseconds.
    */
   void onAnswer(long nanos) {
-    lastAnswer = context.loop().now();
-    meanAnswerNanos += SAMPLE_WEIGHT * (nanos - meanAnswerNanos);
+    health.noteAnswer(context.loop().now(), nanos);
   }
 
   /**
@@ -467,9 +395,9 @@
 
   /** Opens connections while statements wait for more than are being opened. */
   private void openIfNeeded() {
-    int limit = refusedLast ? 1 : waiting.size();
+    int limit = refusedPause > 0 ? 1 : waiting.size();
     while (!retired
-        && reachable
+        && isReachable()
         && limit > opening
         && connections.size() < share()
         && context.loop().now() - refusedUntil >= 0) {
@@ -502,7 +430,12 @@
     context.metrics().counter("member_connections", "domain", entry.domain()).inc();
     try {
       connection.open(
-          context.loop().connect(address(), connection, context.memberLimits()),
+          context
+              .loop()
+              .connect(
+                  new InetSocketAddress(entry.host(), entry.port()),
+                  connection,
+                  context.memberLimits()),
           context.processName());
     } catch (IOException exception) {
       onConnectionClosed(connection, false, String.valueOf(exception.getMessage()));
@@ -520,18 +453,6 @@
     return true;
   }
 
-  /**
-   * Returns the address of the member.
-   *
-   * @return The address.
-   */
-  private InetSocketAddress address() {
-    int colon = entry.address().lastIndexOf(':');
-    return new InetSocketAddress(
-        entry.address().substring(0, colon),
-        Integer.parseInt(entry.address().substring(colon + 1)));
-  }
-
   /**
    * Stops sending statements to the member until it takes a connection.
    *
@@ -541,8 +462,9 @@
     if (retired) {
       return;
     }
-    if (reachable) {
-      reachable = false;
+    boolean wasReachable = isReachable();
+    long retryMillis = health.noteUnreachable();
+    if (wasReachable) {
       context
           .log()
           .event("member-unreachable")
@@ -554,12 +476,11 @@
       failWaiting();
     }
     context.loop().schedule(retryMillis, this::tryAgain);
-    retryMillis = Math.min(retryMillis * 2, LONGEST_RETRY_MILLIS);
   }
 
   /** Tries to reach a member that failed. */
-  private void tryAgain() {
-    if (!retired && !reachable && opening == 0) {
+  void tryAgain() {
+    if (!retired && !isReachable() && opening == 0) {
       openConnection();
     }
   }
@@ -571,34 +492,6 @@
     failed.forEach(ticket -> ticket.borrower.onUnavailable());
   }
 
-  /** A statement that needs a connection. */
-  public interface Borrower {
-
-    /**
-     * Returns the priority of the statement.
-     *
-     * @return The priority, zero is the highest.
-     */
-    int priority();
-
-    /**
-     * Returns the state of the session that the statement belongs to.
-     *
-     * @return The state of the session.
-     */
-    SessionState session();
-
-    /**
-     * Takes a connection.
-     *
-     * @param connection The connection.
-     */
-    void onConnection(MemberConnection connection);
-
-    /** Handles that the member can't be reached. */
-    void onUnavailable();
-  }
-
   /**
    * A place in the queue.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -220,7 +220,7 @@
       result.accept(true);
     } else {
       long distance = 2 * context.distanceMillis(leader.get().entry().domain());
-      leader.get().probe(PROBE_MILLIS + distance, result);
+      leader.get().inquiry().probe(PROBE_MILLIS + distance, result);
     }
   }
 
@@ -294,19 +294,20 @@
     long number = ++open.surveyNumber;
     int[] awaited = {others.size()};
     for (MemberPool pool : others) {
-      pool.askStatus(
-          SURVEY_MILLIS,
-          report -> {
-            found.add(
-                new Successor(
-                    pool.entry().id(),
-                    report.map(r -> r.received()).orElse(pool.position()),
-                    !pool.entry().draining(),
-                    context.distanceMillis(pool.entry().domain())));
-            if (--awaited[0] == 0 && open.surveyNumber == number) {
-              order(open, found);
-            }
-          });
+      pool.inquiry()
+          .askStatus(
+              SURVEY_MILLIS,
+              report -> {
+                found.add(
+                    new Successor(
+                        pool.entry().id(),
+                        report.map(r -> r.received()).orElse(pool.position()),
+                        !pool.entry().draining(),
+                        context.distanceMillis(pool.entry().domain())));
+                if (--awaited[0] == 0 && open.surveyNumber == number) {
+                  order(open, found);
+                }
+              });
     }
     if (others.isEmpty()) {
       keep(open, "no other member is reachable");
@@ -322,6 +323,14 @@
   private void order(Case open, List<Successor> found) {
     Successor chosen = Successor.choose(found).orElseThrow();
     open.stage = Stage.ORDER;
+    log()
+        .event("takeover-decided")
+        .with("pool", open.pool)
+        .with("member", chosen.member())
+        .with("received", chosen.received())
+        .with("candidates", found.size())
+        .with("reason", open.reason)
+        .write();
     boolean taken =
         orders.order(
             open.pool,
