--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
@@ -10,6 +10,7 @@
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberAnswer;
 import org.hickoryshed.session.member.MemberConnection;
+import org.hickoryshed.session.member.MemberPool;
 import org.hickoryshed.session.wire.CallerMessage;
 import org.hickoryshed.session.wire.WireFormat;
 
@@ -112,9 +113,14 @@
    *
    * @param done The answer.
    * @param asPrimary True if the statement was sent to the member as the primary.
+   * @param member The member.
    * @param database The database, if its pool still has members.
    */
-  void noteSuccess(MemberAnswer.Done done, boolean asPrimary, Optional<Database> database) {
+  void noteSuccess(
+      MemberAnswer.Done done,
+      boolean asPrimary,
+      Optional<MemberPool> member,
+      Optional<Database> database) {
     if (done.position().isEmpty()) {
       return;
     }
@@ -124,6 +130,10 @@
         committed || (!commits() && transaction.map(Transaction::provesLead).orElse(asPrimary));
     if (provesLead) {
       database.ifPresent(known -> known.addFloor(done.asked(), position));
+      member.ifPresent(
+          leader ->
+              database.ifPresent(
+                  known -> known.noteLead(leader.entry().id(), position.term(), "its answer")));
     }
     if (committed) {
       session.noteCommit(position);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -309,7 +309,7 @@
    * @param done The answer.
    */
   private void onDone(MemberAnswer.Done done) {
-    call.noteSuccess(done, required.isEmpty(), gateway.database(call.route()));
+    call.noteSuccess(done, required.isEmpty(), pool, gateway.database(call.route()));
     end();
     report.done(done);
     if (transaction.isPresent() && !call.commits()) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -6,13 +6,17 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.freshness.FloorHistory;
 import org.hickoryshed.decision.freshness.Moment;
+import org.hickoryshed.decision.takeover.LeadClaims;
 import org.hickoryshed.decision.topology.LogPosition;
 
 /** What this process knows of one database: its members, its primary and its floors. */
@@ -48,6 +52,9 @@
   /** The members by their identifiers. */
   private final Map<String, Member> members = new LinkedHashMap<>();
 
+  /** Which members are said to lead. */
+  private final LeadClaims claims = new LeadClaims();
+
   /** The recent floors. */
   private final FloorHistory floors = new FloorHistory();
 
@@ -108,19 +115,21 @@
    */
   public void put(MemberEntry entry) {
     Member known = members.get(entry.id());
-    if (known != null && known.pool.entry().isSameRun(entry)) {
-      if (entry.primary() && !known.pool.entry().primary()) {
-        known.claimRevision = entry.revision();
-        known.lostLeadUntil = context.loop().now();
-      }
+    boolean sameRun = known != null && known.pool.entry().isSameRun(entry);
+    if (!entry.primary()) {
+      claims.withdrawn(entry.id());
+    } else if (!sameRun || !known.pool.entry().primary()) {
+      claims.claimed(entry.id());
+    }
+    if (sameRun) {
       known.pool.update(entry);
+      known.lostLeadUntil = context.loop().now();
       return;
     }
     if (known != null) {
       known.pool.retire();
     }
-    Member added = new Member(new MemberPool(context, this, entry), entry.revision());
-    added.lostLeadUntil = context.loop().now();
+    Member added = new Member(new MemberPool(context, this, entry), context.loop().now());
     members.put(entry.id(), added);
     added.pool.warm();
   }
@@ -132,6 +141,7 @@
    */
   public void remove(String id) {
     Member known = members.remove(id);
+    claims.withdrawn(id);
     if (known != null) {
       known.pool.retire();
     }
@@ -153,11 +163,10 @@
    */
   public Optional<MemberPool> primary() {
     long now = context.loop().now();
-    return members.values().stream()
-        .filter(member -> member.pool.entry().primary())
+    return leaders()
         .filter(member -> member.lostLeadUntil - now <= 0)
-        .max(Comparator.comparingLong(member -> member.claimRevision))
-        .map(member -> member.pool);
+        .map(member -> member.pool)
+        .findFirst();
   }
 
   /**
@@ -166,10 +175,51 @@
    * @return The pool of the member or an empty optional if none claims the lead.
    */
   public Optional<MemberPool> leader() {
-    return members.values().stream()
-        .filter(member -> member.pool.entry().primary())
-        .max(Comparator.comparingLong(member -> member.claimRevision))
-        .map(member -> member.pool);
+    return leaders().map(member -> member.pool).findFirst();
+  }
+
+  /**
+   * Returns the term of the leader if it proved its lead.
+   *
+   * @return The term or an empty optional if the lead is only claimed.
+   */
+  public OptionalLong provenTerm() {
+    return claims.isProven() ? OptionalLong.of(claims.provenTerm()) : OptionalLong.empty();
+  }
+
+  /**
+   * Notes that a member proved its lead.
+   *
+   * @param id The identifier of the member.
+   * @param term The term that it leads.
+   * @param source How it became known.
+   * @return {@code true} if this is news.
+   */
+  public boolean noteLead(String id, long term, String source) {
+    Member member = members.get(id);
+    if (member == null || !claims.proven(id, term)) {
+      return false;
+    }
+    member.lostLeadUntil = context.loop().now();
+    floors.observeTerm(term);
+    context
+        .log()
+        .event("member-leads")
+        .with("member", id)
+        .with("pool", member.pool.entry().pool())
+        .with("term", term)
+        .with("source", source)
+        .write();
+    return true;
+  }
+
+  /**
+   * Returns the members that are said to lead.
+   *
+   * @return The members, the one that was learnt last first.
+   */
+  private Stream<Member> leaders() {
+    return claims.byRecency().stream().map(members::get).filter(Objects::nonNull);
   }
 
   /**
@@ -201,6 +251,7 @@
           .with("member", pool.entry().id())
           .with("pool", pool.entry().pool())
           .write();
+      onDoubt(pool, "the primary lost the lead");
     }
   }
 
@@ -324,9 +375,6 @@
     /** The connections to the member. */
     private final MemberPool pool;
 
-    /** The revision of the entry in which the member first claimed the lead. */
-    private long claimRevision;
-
     /** The reading of the steady clock until which the member is not tried as primary. */
     private long lostLeadUntil;
 
@@ -334,11 +382,11 @@
      * Creates a new member.
      *
      * @param pool The connections to the member.
-     * @param claimRevision The revision of the entry.
+     * @param now The reading of the steady clock in nanoseconds.
      */
-    private Member(MemberPool pool, long claimRevision) {
+    private Member(MemberPool pool, long now) {
       this.pool = pool;
-      this.claimRevision = claimRevision;
+      lostLeadUntil = now;
     }
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberInquiry.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberInquiry.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.session.wire.MemberReport;
 
 /** Asks a member on behalf of this proxy, each time within a bound. */
@@ -25,14 +26,16 @@
   }
 
   /**
-   * Finds out whether the member answers.
+   * Finds out whether the member answers and leads.
    *
    * @param timeoutMillis The longest time to wait in milliseconds.
    * @param result The receiver of the result.
    */
   public void probe(long timeoutMillis, Consumer<Boolean> result) {
     if (pool.isReachable()) {
-      askPosition(timeoutMillis, answer -> result.accept(answer.isPresent()));
+      askPosition(
+          timeoutMillis,
+          answer -> result.accept(answer.filter(MemberInquiry::isOfPrimary).isPresent()));
       return;
     }
     pool.tryAgain();
@@ -74,4 +77,15 @@
                         .flatMap(context.format()::report)))
         .start(timeoutMillis);
   }
+
+  /**
+   * Checks if an answer does not deny the lead of the member.
+   *
+   * @param answer The answer.
+   * @return {@code false} if the member stated that it does not lead.
+   */
+  private static boolean isOfPrimary(MemberAnswer answer) {
+    return !(answer instanceof MemberAnswer.Failed failed
+        && failed.kind() == FailureKind.NOT_PRIMARY);
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -47,6 +47,15 @@
    */
   record Takeover(String pool) implements PeerMessage {}
 
+  /**
+   * Tells that a member proved its lead.
+   *
+   * @param pool The pool.
+   * @param member The identifier of the member.
+   * @param term The term that it leads.
+   */
+  record Lead(String pool, String member, long term) implements PeerMessage {}
+
   /**
    * Asks for the latest floor of a database.
    *
@@ -89,6 +98,8 @@
         case Answer answer ->
             packer.packInt(2).packLong(answer.question).packBoolean(answer.reachable);
         case Takeover takeover -> packer.packInt(3).packString(takeover.pool);
+        case Lead lead ->
+            packer.packInt(6).packString(lead.pool).packString(lead.member).packLong(lead.term);
         case FloorQuestion question ->
             packer.packInt(4).packString(question.pool).packLong(question.question);
         case FloorAnswer answer ->
@@ -133,6 +144,8 @@
                     unpacker.unpackLong(),
                     new LogPosition(unpacker.unpackLong(), unpacker.unpackLong()),
                     unpacker.unpackLong());
+            case 6 ->
+                new Lead(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverOrders.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverOrders.java
@@ -98,11 +98,13 @@
    * @param pool The pool.
    * @param member The identifier of the member.
    * @param reason Why the primary is replaced.
+   * @param claimed Run once the intent is recorded, on the thread of this duty.
    * @param result The receiver of the result; called on the thread of this duty.
    * @return {@code false} if too many orders wait.
    */
-  public boolean order(String pool, String member, String reason, Consumer<OrderResult> result) {
-    return duty.offer(() -> result.accept(orderNow(pool, member, reason)));
+  public boolean order(
+      String pool, String member, String reason, Runnable claimed, Consumer<OrderResult> result) {
+    return duty.offer(() -> result.accept(orderNow(pool, member, reason, claimed)));
   }
 
   /**
@@ -111,14 +113,16 @@
    * @param pool The pool.
    * @param member The identifier of the member.
    * @param reason Why the primary is replaced.
+   * @param announce Run once the intent is recorded.
    * @return The result.
    */
-  OrderResult orderNow(String pool, String member, String reason) {
+  OrderResult orderNow(String pool, String member, String reason, Runnable announce) {
     Optional<TakeoverRecord> claimed = claim(pool, member);
     if (claimed.isEmpty()) {
       return OrderResult.NOT_HOLDER;
     }
     TakeoverRecord record = claimed.get();
+    announce.run();
     PromotionService.Outcome outcome = promotions.promote(pool, record);
     log.event("takeover-ordered")
         .with("pool", pool)
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 import org.hickoryshed.session.net.EventLoop;
 import org.hickoryshed.session.peer.PeerMessage;
 import org.hickoryshed.session.peer.PeerNetwork;
+import org.hickoryshed.session.wire.MemberReport;
 
 /**
  * Watches the primaries and replaces one that failed or leaves.
@@ -45,15 +47,21 @@
   /** The pause after an order, in which its effect becomes visible, in milliseconds. */
   private static final long ORDER_PAUSE_MILLIS = 1300;
 
+  /** The pause after an order without an answer, in milliseconds. */
+  private static final long UNKNOWN_PAUSE_MILLIS = 450;
+
+  /** The pause between two questions whether the new primary leads, in milliseconds. */
+  private static final long LEAD_LOOK_MILLIS = 60;
+
+  /** The number of such questions. */
+  private static final int LEAD_LOOKS = 10;
+
   /** The longest delay before a leaving primary is replaced, so that one proxy comes first. */
   private static final long LEAVING_SPREAD_MILLIS = 250;
 
   /** The number of proxies that take part in a vote at most. */
   private static final int VOTERS = 8;
 
-  /** Nanoseconds in a millisecond. */
-  private static final long NANOS_IN_MILLI = 1_000_000;
-
   /** What all pools share. */
   private final MemberContext context;
 
@@ -67,7 +75,7 @@
   private final Function<String, Optional<Database>> databases;
 
   /** The cases by the names of their pools. */
-  private final Map<String, Case> cases = new HashMap<>();
+  private final Map<String, TakeoverCase> cases = new HashMap<>();
 
   /** The number of the next question. */
   private long nextQuestion = 1;
@@ -113,11 +121,11 @@
    * @param reason What was seen.
    */
   public void onDoubt(String pool, String reason) {
-    Case open = cases.computeIfAbsent(pool, Case::new);
-    if (open.stage != Stage.REST || isQuiet(open)) {
+    TakeoverCase open = cases.computeIfAbsent(pool, this::newCase);
+    if (open.stage != TakeoverCase.Stage.REST || open.isQuiet(loop().now())) {
       return;
     }
-    open.stage = Stage.VOTE;
+    open.stage = TakeoverCase.Stage.VOTE;
     open.reason = reason;
     open.question = nextQuestion++;
     List<String> voters = peers.alive().stream().limit(VOTERS).toList();
@@ -141,36 +149,60 @@
   @Override
   public void onMessage(String from, PeerMessage message) {
     switch (message) {
-      case PeerMessage.Question question ->
-          examine(
-              question.pool(),
-              question.member(),
-              reachable ->
-                  peers.send(from, new PeerMessage.Answer(question.question(), reachable)));
+      case PeerMessage.Lead lead ->
+          databases
+              .apply(lead.pool())
+              .ifPresent(database -> database.noteLead(lead.member(), lead.term(), from));
+      case PeerMessage.Question question -> {
+        tellLead(from, question);
+        examine(
+            question.pool(),
+            question.member(),
+            reachable -> peers.send(from, new PeerMessage.Answer(question.question(), reachable)));
+      }
       case PeerMessage.Answer answer ->
           cases.values().stream()
               .filter(open -> open.question == answer.question())
               .forEach(open -> onVote(open, answer.question(), from, answer.reachable()));
       case PeerMessage.Takeover takeover ->
-          leaveTo(from, cases.computeIfAbsent(takeover.pool(), Case::new));
+          leaveTo(from, cases.computeIfAbsent(takeover.pool(), this::newCase));
       default -> {
         // The other messages are not about primaries.
       }
     }
   }
 
+  /**
+   * Tells a proxy that asks about a replaced primary who leads now.
+   *
+   * @param from The name of the proxy.
+   * @param question The question.
+   */
+  private void tellLead(String from, PeerMessage.Question question) {
+    Optional<Database> database = databases.apply(question.pool());
+    Optional<String> leader = database.flatMap(Database::leader).map(pool -> pool.entry().id());
+    if (leader.isPresent()
+        && !leader.get().equals(question.member())
+        && database.get().provenTerm().isPresent()) {
+      peers.send(
+          from,
+          new PeerMessage.Lead(
+              question.pool(), leader.get(), database.get().provenTerm().getAsLong()));
+    }
+  }
+
   /**
    * Leaves a case to another proxy.
    *
    * @param proxy The name of the proxy.
    * @param open The case.
    */
-  private void leaveTo(String proxy, Case open) {
+  private void leaveTo(String proxy, TakeoverCase open) {
     log().event("takeover-left").with("pool", open.pool).with("holder", proxy).write();
-    if (open.stage == Stage.VOTE) {
-      open.stage = Stage.REST;
+    if (open.stage == TakeoverCase.Stage.VOTE) {
+      open.stage = TakeoverCase.Stage.REST;
     }
-    pause(open, ORDER_PAUSE_MILLIS);
+    open.pause(loop().now(), ORDER_PAUSE_MILLIS);
   }
 
   /**
@@ -184,22 +216,24 @@
       return;
     }
     Optional<MemberPool> leader = database.get().leader();
-    Case open = cases.computeIfAbsent(pool, Case::new);
+    TakeoverCase open = cases.computeIfAbsent(pool, this::newCase);
     if (leader.isEmpty()) {
       onDoubt(pool, "no member claims the lead");
     } else if (!leader.get().isReachable()) {
       onDoubt(pool, "the primary is unreachable");
-    } else if (leader.get().entry().draining() && open.stage == Stage.REST && !isQuiet(open)) {
-      open.stage = Stage.SURVEY;
+    } else if (leader.get().entry().draining()
+        && open.stage == TakeoverCase.Stage.REST
+        && !open.isQuiet(loop().now())) {
+      open.stage = TakeoverCase.Stage.SURVEY;
       open.reason = "the primary leaves";
       loop()
           .schedule(
               ThreadLocalRandom.current().nextLong(LEAVING_SPREAD_MILLIS),
               () -> {
-                if (open.stage == Stage.SURVEY && !isQuiet(open)) {
+                if (open.stage == TakeoverCase.Stage.SURVEY && !open.isQuiet(loop().now())) {
                   survey(open);
                 } else {
-                  open.stage = Stage.REST;
+                  open.stage = TakeoverCase.Stage.REST;
                 }
               });
     }
@@ -232,8 +266,8 @@
    * @param proxy The name of the proxy.
    * @param reachable True if the primary answers it.
    */
-  private void onVote(Case open, long question, String proxy, boolean reachable) {
-    if (open.stage == Stage.VOTE && open.question == question) {
+  private void onVote(TakeoverCase open, long question, String proxy, boolean reachable) {
+    if (open.stage == TakeoverCase.Stage.VOTE && open.question == question) {
       open.vote.answer(proxy, reachable);
       evaluate(open, question, false);
     }
@@ -246,13 +280,13 @@
    * @param question The number of the question.
    * @param over True if no further vote is awaited.
    */
-  private void evaluate(Case open, long question, boolean over) {
-    if (open.stage != Stage.VOTE || open.question != question) {
+  private void evaluate(TakeoverCase open, long question, boolean over) {
+    if (open.stage != TakeoverCase.Stage.VOTE || open.question != question) {
       return;
     }
     switch (open.vote.verdict(over)) {
       case FAILED -> {
-        open.stage = Stage.SURVEY;
+        open.stage = TakeoverCase.Stage.SURVEY;
         survey(open);
       }
       case ALIVE -> keep(open, "a proxy reaches it");
@@ -270,10 +304,10 @@
    * @param open The case.
    * @param reason Why the primary is kept.
    */
-  private void keep(Case open, String reason) {
+  private void keep(TakeoverCase open, String reason) {
     log().event("primary-kept").with("pool", open.pool).with("reason", reason).write();
-    open.stage = Stage.REST;
-    pause(open, KEPT_PAUSE_MILLIS);
+    open.stage = TakeoverCase.Stage.REST;
+    open.pause(loop().now(), KEPT_PAUSE_MILLIS);
   }
 
   /**
@@ -281,48 +315,100 @@
    *
    * @param open The case.
    */
-  private void survey(Case open) {
-    peers.alive().forEach(peer -> peers.send(peer, new PeerMessage.Takeover(open.pool)));
-    Optional<Database> database = databases.apply(open.pool);
-    Optional<MemberPool> leader = database.flatMap(Database::leader);
-    List<MemberPool> others =
-        database.stream()
-            .flatMap(found -> found.pools().stream())
-            .filter(pool -> leader.filter(pool::equals).isEmpty() && pool.isReachable())
+  private void survey(TakeoverCase open) {
+    List<MemberPool> asked =
+        databases.apply(open.pool).stream()
+            .flatMap(database -> database.pools().stream())
+            .filter(MemberPool::isReachable)
             .toList();
-    List<Successor> found = new ArrayList<>();
-    long number = ++open.surveyNumber;
-    int[] awaited = {others.size()};
-    for (MemberPool pool : others) {
+    if (asked.isEmpty()) {
+      keep(open, "no member is reachable");
+      return;
+    }
+    Map<MemberPool, Optional<MemberReport>> reports = new LinkedHashMap<>();
+    for (MemberPool pool : asked) {
       pool.inquiry()
           .askStatus(
               SURVEY_MILLIS,
               report -> {
-                found.add(
-                    new Successor(
-                        pool.entry().id(),
-                        report.map(r -> r.received()).orElse(pool.position()),
-                        !pool.entry().draining(),
-                        context.distanceMillis(pool.entry().domain())));
-                if (--awaited[0] == 0 && open.surveyNumber == number) {
-                  order(open, found);
+                reports.put(pool, report);
+                if (reports.size() == asked.size()) {
+                  onSurveyed(open, reports);
                 }
               });
     }
-    if (others.isEmpty()) {
+  }
+
+  /**
+   * Handles the reports of all members that are reachable.
+   *
+   * @param open The case.
+   * @param reports The reports, empty for members that did not answer in time.
+   */
+  private void onSurveyed(TakeoverCase open, Map<MemberPool, Optional<MemberReport>> reports) {
+    Optional<MemberPool> leader = databases.apply(open.pool).flatMap(Database::leader);
+    List<Successor> found = new ArrayList<>();
+    for (Map.Entry<MemberPool, Optional<MemberReport>> entry : reports.entrySet()) {
+      MemberPool pool = entry.getKey();
+      Optional<MemberReport> report = entry.getValue();
+      boolean leads = report.map(MemberReport::primary).orElse(false);
+      if (leads && !pool.entry().draining()) {
+        spreadLead(open.pool, pool.entry().id(), report.get().term());
+        keep(open, "a member leads: " + pool.entry().id());
+        return;
+      }
+      if (!leads && leader.filter(pool::equals).isEmpty()) {
+        found.add(
+            new Successor(
+                pool.entry().id(),
+                report.map(MemberReport::received).orElse(pool.position()),
+                !pool.entry().draining(),
+                context.distanceMillis(pool.entry().domain())));
+      }
+    }
+    if (found.isEmpty()) {
       keep(open, "no other member is reachable");
+    } else {
+      order(open, found);
+    }
+  }
+
+  /**
+   * Tells the other proxies who leads, unless it is known.
+   *
+   * @param pool The pool.
+   * @param member The identifier of the member.
+   * @param term The term that it leads.
+   */
+  private void spreadLead(String pool, String member, long term) {
+    boolean news =
+        databases
+            .apply(pool)
+            .map(database -> database.noteLead(member, term, "its status"))
+            .orElse(false);
+    if (news) {
+      announce(new PeerMessage.Lead(pool, member, term));
     }
   }
 
+  /**
+   * Sends a message to all proxies that are alive.
+   *
+   * @param message The message.
+   */
+  private void announce(PeerMessage message) {
+    peers.alive().forEach(peer -> peers.send(peer, message));
+  }
+
   /**
    * Orders a takeover by the best of the members.
    *
    * @param open The case.
    * @param found The members that answered.
    */
-  private void order(Case open, List<Successor> found) {
+  private void order(TakeoverCase open, List<Successor> found) {
     Successor chosen = Successor.choose(found).orElseThrow();
-    open.stage = Stage.ORDER;
+    open.stage = TakeoverCase.Stage.ORDER;
     log()
         .event("takeover-decided")
         .with("pool", open.pool)
@@ -336,7 +422,8 @@
             open.pool,
             chosen.member(),
             open.reason,
-            result -> loop().submit(() -> onOrdered(open, result)));
+            () -> loop().submit(() -> announce(new PeerMessage.Takeover(open.pool))),
+            result -> loop().submit(() -> onOrdered(open, chosen.member(), result)));
     if (!taken) {
       keep(open, "too many orders wait");
     }
@@ -346,34 +433,59 @@
    * Handles the result of an order.
    *
    * @param open The case.
+   * @param member The identifier of the member that is to lead.
    * @param result The result.
    */
-  private void onOrdered(Case open, TakeoverOrders.OrderResult result) {
+  private void onOrdered(TakeoverCase open, String member, TakeoverOrders.OrderResult result) {
     context.metrics().counter("takeovers", "result", result.name()).inc();
-    open.stage = Stage.REST;
-    pause(
-        open,
-        result == TakeoverOrders.OrderResult.REFUSED ? KEPT_PAUSE_MILLIS : ORDER_PAUSE_MILLIS);
+    open.stage = TakeoverCase.Stage.REST;
+    switch (result) {
+      case ACCEPTED -> {
+        open.pause(loop().now(), ORDER_PAUSE_MILLIS);
+        awaitLead(open, member, LEAD_LOOKS);
+      }
+      case UNKNOWN -> open.pause(loop().now(), UNKNOWN_PAUSE_MILLIS);
+      case REFUSED, NOT_HOLDER -> open.pause(loop().now(), KEPT_PAUSE_MILLIS);
+    }
   }
 
   /**
-   * Lets a case rest for a while.
+   * Asks the member that is to lead until it does, so that no proxy has to wait for the directory.
    *
    * @param open The case.
-   * @param millis The time in milliseconds.
+   * @param member The identifier of the member.
+   * @param looks The number of questions that are left.
    */
-  private void pause(Case open, long millis) {
-    open.quietUntil = loop().now() + millis * NANOS_IN_MILLI;
+  private void awaitLead(TakeoverCase open, String member, int looks) {
+    Optional<MemberPool> pool =
+        databases.apply(open.pool).stream()
+            .flatMap(database -> database.pools().stream())
+            .filter(candidate -> candidate.entry().id().equals(member))
+            .findFirst();
+    if (looks == 0 || pool.isEmpty() || !pool.get().isReachable()) {
+      return;
+    }
+    pool.get()
+        .inquiry()
+        .askStatus(
+            SURVEY_MILLIS,
+            report -> {
+              if (report.filter(MemberReport::primary).isPresent()) {
+                spreadLead(open.pool, member, report.get().term());
+              } else {
+                loop().schedule(LEAD_LOOK_MILLIS, () -> awaitLead(open, member, looks - 1));
+              }
+            });
   }
 
   /**
-   * Checks if a case rests.
+   * Creates a case that rests.
    *
-   * @param open The case.
-   * @return {@code true} if no vote and no order is to start.
+   * @param pool The name of the pool.
+   * @return The case.
    */
-  private boolean isQuiet(Case open) {
-    return open.quietUntil - loop().now() > 0;
+  private TakeoverCase newCase(String pool) {
+    return new TakeoverCase(pool, loop().now());
   }
 
   /**
@@ -393,50 +505,4 @@
   private EventLog log() {
     return context.log();
   }
-
-  /** The stage of a case. */
-  private enum Stage {
-    /** Nothing is going on. */
-    REST,
-    /** The proxies vote. */
-    VOTE,
-    /** The other members are asked for their positions. */
-    SURVEY,
-    /** The order is being given. */
-    ORDER
-  }
-
-  /** What is going on about one primary. */
-  private final class Case {
-
-    /** The name of the pool. */
-    private final String pool;
-
-    /** The stage. */
-    private Stage stage = Stage.REST;
-
-    /** Why the primary is to be replaced. */
-    private String reason = "";
-
-    /** The number of the question of the present vote. */
-    private long question;
-
-    /** The present vote. */
-    private PrimaryVote vote = new PrimaryVote(0);
-
-    /** The number of the present survey. */
-    private long surveyNumber;
-
-    /** The reading of the steady clock until which nothing is started. */
-    private long quietUntil = loop().now();
-
-    /**
-     * Creates a new case.
-     *
-     * @param pool The name of the pool.
-     */
-    private Case(String pool) {
-      this.pool = pool;
-    }
-  }
 }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -16,6 +16,7 @@
           new PeerMessage.Question("orders", "m1", 3),
           new PeerMessage.Answer(3, true),
           new PeerMessage.Takeover("orders"),
+          new PeerMessage.Lead("orders", "m2", 4),
           new PeerMessage.FloorQuestion("orders", 4),
           new PeerMessage.FloorAnswer(4, new LogPosition(2, 1207), 35));
 
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/takeover/TakeoverOrdersTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/takeover/TakeoverOrdersTest.java
@@ -26,7 +26,7 @@
 
   @Test
   void recordsTheIntentBeforeTheOrder() {
-    assertThat(first.orderNow(POOL, "m2", "test")).isEqualTo(OrderResult.ACCEPTED);
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.ACCEPTED);
     assertThat(records.present.get(POOL)).isEqualTo(promotions.orders.get(0));
   }
 
@@ -34,14 +34,14 @@
   void givesNoOrderWithoutItsRecord() {
     records.answerIsLost = true;
 
-    assertThat(first.orderNow(POOL, "m2", "test")).isEqualTo(OrderResult.NOT_HOLDER);
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.NOT_HOLDER);
     assertThat(promotions.orders).isEmpty();
   }
 
   @Test
   void takesFreshNumberForEachOrder() {
-    first.orderNow(POOL, "m2", "test");
-    first.orderNow(POOL, "m3", "test");
+    first.orderNow(POOL, "m2", "test", () -> {});
+    first.orderNow(POOL, "m3", "test", () -> {});
 
     assertThat(numbers()).containsExactly(1L, 2L);
   }
@@ -49,8 +49,8 @@
   @Test
   void takesFreshNumberAfterOrderWithoutAnswer() {
     promotions.outcome = new PromotionService.Outcome.Unknown("lost");
-    assertThat(first.orderNow(POOL, "m2", "test")).isEqualTo(OrderResult.UNKNOWN);
-    first.orderNow(POOL, "m2", "test");
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.UNKNOWN);
+    first.orderNow(POOL, "m2", "test", () -> {});
 
     assertThat(numbers()).containsExactly(1L, 2L);
   }
@@ -58,8 +58,8 @@
   @Test
   void takesFreshNumberAfterRefusal() {
     promotions.outcome = new PromotionService.Outcome.Refused("test");
-    assertThat(first.orderNow(POOL, "m2", "test")).isEqualTo(OrderResult.REFUSED);
-    first.orderNow(POOL, "m3", "test");
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.REFUSED);
+    first.orderNow(POOL, "m3", "test", () -> {});
 
     assertThat(numbers()).containsExactly(1L, 2L);
   }
@@ -67,37 +67,37 @@
   @Test
   void takesFreshNumberWhenItsWriteWasCarriedOutWithoutAnswer() {
     records.answerIsLost = true;
-    first.orderNow(POOL, "m2", "test");
+    first.orderNow(POOL, "m2", "test", () -> {});
     records.answerIsLost = false;
-    assertThat(first.orderNow(POOL, "m2", "test")).isEqualTo(OrderResult.ACCEPTED);
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.ACCEPTED);
 
     assertThat(numbers()).containsExactly(2L);
   }
 
   @Test
   void leavesTheDutyToTheHolderOfRecentOrder() {
-    first.orderNow(POOL, "m2", "test");
+    first.orderNow(POOL, "m2", "test", () -> {});
 
-    assertThat(second.orderNow(POOL, "m3", "test")).isEqualTo(OrderResult.NOT_HOLDER);
+    assertThat(second.orderNow(POOL, "m3", "test", () -> {})).isEqualTo(OrderResult.NOT_HOLDER);
     assertThat(numbers()).containsExactly(1L);
   }
 
   @Test
   void takesTheDutyOverOnceTheTenureIsOver() {
-    first.orderNow(POOL, "m2", "test");
-    assertThat(second.orderNow(POOL, "m3", "test")).isEqualTo(OrderResult.NOT_HOLDER);
+    first.orderNow(POOL, "m2", "test", () -> {});
+    assertThat(second.orderNow(POOL, "m3", "test", () -> {})).isEqualTo(OrderResult.NOT_HOLDER);
     millis += 4_001;
 
-    assertThat(second.orderNow(POOL, "m3", "test")).isEqualTo(OrderResult.ACCEPTED);
+    assertThat(second.orderNow(POOL, "m3", "test", () -> {})).isEqualTo(OrderResult.ACCEPTED);
     assertThat(numbers()).containsExactly(1L, 2L);
   }
 
   @Test
   void neverRepeatsNumberWhenTwoProxiesRace() {
-    first.orderNow(POOL, "m2", "test");
+    first.orderNow(POOL, "m2", "test", () -> {});
     millis += 60_000;
-    records.beforeWrite = () -> second.orderNow(POOL, "m3", "race");
-    first.orderNow(POOL, "m3", "test");
+    records.beforeWrite = () -> second.orderNow(POOL, "m3", "race", () -> {});
+    first.orderNow(POOL, "m3", "test", () -> {});
 
     assertThat(numbers()).doesNotHaveDuplicates();
   }
