Count proxies that fell silent a moment ago in votes, and ask for more than half

Change: a silent proxy counts for 9 s, and more than half of all must answer. A lost lead is logged once, not with every answer.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/takeover/PrimaryVote.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/takeover/PrimaryVote.java
@@ -7,7 +7,8 @@
  * A vote of the proxies on whether a primary has failed.
  *
  * <p>One proxy that reaches the primary is enough to keep it: a cut link between this proxy and the
- * primary is no reason to replace it.
+ * primary is no reason to replace it. Proxies that fell silent a moment ago count among those that
+ * were asked, so that of two parts of a system that lost each other only the larger one decides.
  */
 public final class PrimaryVote {
 
@@ -52,7 +53,7 @@
     if (!over) {
       return Verdict.OPEN;
     }
-    return answers.size() * 2 >= asked ? Verdict.FAILED : Verdict.OPEN;
+    return answers.size() * 2 > asked ? Verdict.FAILED : Verdict.OPEN;
   }
 
   /** What a vote found. */
@@ -61,7 +62,7 @@
     OPEN,
     /** A proxy reaches the primary. */
     ALIVE,
-    /** At least half of the asked proxies answered and none of them reaches the primary. */
+    /** More than half of the asked proxies answered and none of them reaches the primary. */
     FAILED
   }
 }
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/takeover/PrimaryVoteTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/takeover/PrimaryVoteTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void findsFailureWithHalfOfTheAnswersAtTheEnd() {
+  void findsFailureWithMoreThanHalfOfTheAnswersAtTheEnd() {
     vote.answer("a", false);
     vote.answer("b", false);
     vote.answer("c", false);
@@ -49,6 +49,15 @@
     assertThat(vote.verdict(true)).isEqualTo(PrimaryVote.Verdict.FAILED);
   }
 
+  @Test
+  void decidesNothingInSmallerOrEqualPart() {
+    PrimaryVote even = new PrimaryVote(4);
+    even.answer("a", false);
+    even.answer("b", false);
+
+    assertThat(even.verdict(true)).isEqualTo(PrimaryVote.Verdict.OPEN);
+  }
+
   @Test
   void decidesNothingWithFewAnswers() {
     vote.answer("a", false);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -243,7 +243,8 @@
    */
   public void noteLostLead(MemberPool pool) {
     Member member = members.get(pool.entry().id());
-    if (member != null && member.pool == pool) {
+    boolean news = member != null && member.lostLeadUntil - context.loop().now() <= 0;
+    if (news && member.pool == pool) {
       member.lostLeadUntil = context.loop().now() + LOST_LEAD_MILLIS * NANOS_IN_MILLI;
       context
           .log()
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -29,6 +29,9 @@
   /** The silence after which a proxy counts as gone, in milliseconds for each round of turns. */
   private static final long SILENCE_MILLIS = 2600;
 
+  /** The silence for which a proxy still counts in votes, in milliseconds. */
+  private static final long KNOWN_MILLIS = 9000;
+
   /** The silence after which a proxy is forgotten, in milliseconds. */
   private static final long FORGET_MILLIS = 60_000;
 
@@ -105,7 +108,7 @@
         () -> {
           if (!peer.equals(name) && !peers.containsKey(peer)) {
             Peer added = new Peer(address);
-            added.heard = loop.now() - SILENCE_MILLIS * NANOS_IN_MILLI;
+            added.heard = loop.now() - KNOWN_MILLIS * NANOS_IN_MILLI;
             peers.put(peer, added);
             send(added, heartbeat.get());
           }
@@ -124,6 +127,18 @@
         .toList();
   }
 
+  /**
+   * Returns the names of the proxies that are alive or fell silent not long ago.
+   *
+   * @return The names.
+   */
+  public List<String> known() {
+    return peers.entrySet().stream()
+        .filter(entry -> loop.now() - entry.getValue().heard < KNOWN_MILLIS * NANOS_IN_MILLI)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /**
    * Sends a message to a proxy.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -128,7 +128,7 @@
     open.stage = TakeoverCase.Stage.VOTE;
     open.reason = reason;
     open.question = nextQuestion++;
-    List<String> voters = peers.alive().stream().limit(VOTERS).toList();
+    List<String> voters = peers.known().stream().limit(VOTERS).toList();
     open.vote = new PrimaryVote(voters.size() + 1);
     String member =
         databases.apply(pool).flatMap(Database::leader).map(p -> p.entry().id()).orElse("");
