--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -127,7 +127,7 @@
    * @param pool The name of the pool.
    * @return The database or an empty optional if the pool has no members.
    */
-  public Optional<Database> database(String pool) {
+  public Optional<Database> databaseOf(String pool) {
     return Optional.ofNullable(databases.get(pool));
   }
 
@@ -213,7 +213,7 @@
 
   @Override
   public Optional<Database> database(DatabaseRoute route) {
-    return database(route.pool());
+    return databaseOf(route.pool());
   }
 
   @Override
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -256,15 +256,6 @@
     failWaiting();
   }
 
-  /**
-   * Returns the number of connections.
-   *
-   * @return The number of connections, those that are being opened too.
-   */
-  public int connectionCount() {
-    return connections.size();
-  }
-
   /**
    * Returns the name of a prepared statement at every member.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -110,7 +110,7 @@
             Peer added = new Peer(address);
             added.heard = loop.now() - KNOWN_MILLIS * NANOS_IN_MILLI;
             peers.put(peer, added);
-            send(added, heartbeat.get());
+            transmit(added, heartbeat.get());
           }
         });
   }
@@ -146,7 +146,7 @@
    * @param message The message.
    */
   public void send(String peer, PeerMessage message) {
-    Optional.ofNullable(peers.get(peer)).ifPresent(known -> send(known, message));
+    Optional.ofNullable(peers.get(peer)).ifPresent(known -> transmit(known, message));
   }
 
   /** Sends a heartbeat to the proxies whose turn it is. */
@@ -157,7 +157,7 @@
     for (String next : turn) {
       Peer peer = peers.remove(next);
       peers.put(next, peer);
-      send(peer, heartbeat.get());
+      transmit(peer, heartbeat.get());
       noteSilence(next, peer);
     }
     loop.schedule(HEARTBEAT_MILLIS, this::beat);
@@ -219,7 +219,7 @@
    * @param peer The proxy.
    * @param message The message.
    */
-  private void send(Peer peer, PeerMessage message) {
+  private void transmit(Peer peer, PeerMessage message) {
     datagrams.send(peer.address, message.encode(name));
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -50,12 +50,6 @@
   /** The pause after an order without an answer, in milliseconds. */
   private static final long UNKNOWN_PAUSE_MILLIS = 450;
 
-  /** The pause between two questions whether the new primary leads, in milliseconds. */
-  private static final long LEAD_LOOK_MILLIS = 60;
-
-  /** The number of such questions. */
-  private static final int LEAD_LOOKS = 10;
-
   /** The longest delay before a leaving primary is replaced, so that one proxy comes first. */
   private static final long LEAVING_SPREAD_MILLIS = 250;
 
@@ -74,6 +68,9 @@
   /** Finds the databases by the names of their pools. */
   private final Function<String, Optional<Database>> databases;
 
+  /** What tells the proxies who leads. */
+  private final LeadNews leads;
+
   /** The cases by the names of their pools. */
   private final Map<String, TakeoverCase> cases = new HashMap<>();
 
@@ -97,6 +94,7 @@
     this.peers = peers;
     this.orders = orders;
     this.databases = databases;
+    leads = new LeadNews(context, peers, databases);
   }
 
   /**
@@ -154,7 +152,7 @@
               .apply(lead.pool())
               .ifPresent(database -> database.noteLead(lead.member(), lead.term(), from));
       case PeerMessage.Question question -> {
-        tellLead(from, question);
+        leads.answer(from, question);
         examine(
             question.pool(),
             question.member(),
@@ -172,25 +170,6 @@
     }
   }
 
-  /**
-   * Tells a proxy that asks about a replaced primary who leads now.
-   *
-   * @param from The name of the proxy.
-   * @param question The question.
-   */
-  private void tellLead(String from, PeerMessage.Question question) {
-    Optional<Database> database = databases.apply(question.pool());
-    Optional<String> leader = database.flatMap(Database::leader).map(pool -> pool.entry().id());
-    if (leader.isPresent()
-        && !leader.get().equals(question.member())
-        && database.get().provenTerm().isPresent()) {
-      peers.send(
-          from,
-          new PeerMessage.Lead(
-              question.pool(), leader.get(), database.get().provenTerm().getAsLong()));
-    }
-  }
-
   /**
    * Leaves a case to another proxy.
    *
@@ -351,13 +330,13 @@
     for (Map.Entry<MemberPool, Optional<MemberReport>> entry : reports.entrySet()) {
       MemberPool pool = entry.getKey();
       Optional<MemberReport> report = entry.getValue();
-      boolean leads = report.map(MemberReport::primary).orElse(false);
-      if (leads && !pool.entry().draining()) {
-        spreadLead(open.pool, pool.entry().id(), report.get().term());
+      boolean isPrimary = report.map(MemberReport::primary).orElse(false);
+      if (isPrimary && !pool.entry().draining()) {
+        leads.spread(open.pool, pool.entry().id(), report.get().term());
         keep(open, "a member leads: " + pool.entry().id());
         return;
       }
-      if (!leads && leader.filter(pool::equals).isEmpty()) {
+      if (!isPrimary && leader.filter(pool::equals).isEmpty()) {
         found.add(
             new Successor(
                 pool.entry().id(),
@@ -373,33 +352,6 @@
     }
   }
 
-  /**
-   * Tells the other proxies who leads, unless it is known.
-   *
-   * @param pool The pool.
-   * @param member The identifier of the member.
-   * @param term The term that it leads.
-   */
-  private void spreadLead(String pool, String member, long term) {
-    boolean news =
-        databases
-            .apply(pool)
-            .map(database -> database.noteLead(member, term, "its status"))
-            .orElse(false);
-    if (news) {
-      announce(new PeerMessage.Lead(pool, member, term));
-    }
-  }
-
-  /**
-   * Sends a message to all proxies that are alive.
-   *
-   * @param message The message.
-   */
-  private void announce(PeerMessage message) {
-    peers.alive().forEach(peer -> peers.send(peer, message));
-  }
-
   /**
    * Orders a takeover by the best of the members.
    *
@@ -422,7 +374,7 @@
             open.pool,
             chosen.member(),
             open.reason,
-            () -> loop().submit(() -> announce(new PeerMessage.Takeover(open.pool))),
+            () -> loop().submit(() -> leads.announce(new PeerMessage.Takeover(open.pool))),
             result -> loop().submit(() -> onOrdered(open, chosen.member(), result)));
     if (!taken) {
       keep(open, "too many orders wait");
@@ -442,42 +394,13 @@
     switch (result) {
       case ACCEPTED -> {
         open.pause(loop().now(), ORDER_PAUSE_MILLIS);
-        awaitLead(open, member, LEAD_LOOKS);
+        leads.await(open.pool, member);
       }
       case UNKNOWN -> open.pause(loop().now(), UNKNOWN_PAUSE_MILLIS);
       case REFUSED, NOT_HOLDER -> open.pause(loop().now(), KEPT_PAUSE_MILLIS);
     }
   }
 
-  /**
-   * Asks the member that is to lead until it does, so that no proxy has to wait for the directory.
-   *
-   * @param open The case.
-   * @param member The identifier of the member.
-   * @param looks The number of questions that are left.
-   */
-  private void awaitLead(TakeoverCase open, String member, int looks) {
-    Optional<MemberPool> pool =
-        databases.apply(open.pool).stream()
-            .flatMap(database -> database.pools().stream())
-            .filter(candidate -> candidate.entry().id().equals(member))
-            .findFirst();
-    if (looks == 0 || pool.isEmpty() || !pool.get().isReachable()) {
-      return;
-    }
-    pool.get()
-        .inquiry()
-        .askStatus(
-            SURVEY_MILLIS,
-            report -> {
-              if (report.filter(MemberReport::primary).isPresent()) {
-                spreadLead(open.pool, member, report.get().term());
-              } else {
-                loop().schedule(LEAD_LOOK_MILLIS, () -> awaitLead(open, member, looks - 1));
-              }
-            });
-  }
-
   /**
    * Creates a case that rests.
    *
