Log each reason of a retry once, read fractions of durations, close a lost wake-up of duties

Durations of the platform may be fractions (readsFractionOfDuration failed before). Duty.offer stored the event with release order before it read the idle flag; found by reading, not seen in a run.

--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/duty/Duty.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/duty/Duty.java
@@ -1,5 +1,6 @@
 package org.hickoryshed.kernel.duty;
 
+import java.lang.invoke.VarHandle;
 import java.time.Duration;
 import java.util.concurrent.locks.LockSupport;
 import org.hickoryshed.kernel.service.Service;
@@ -61,6 +62,9 @@
    */
   public boolean offer(E event) {
     boolean taken = ring.offer(event);
+    // The ring stores with release order only; without the fence this thread could read the flag of
+    // an idle thread before that thread can see the event, and leave it parked.
+    VarHandle.fullFence();
     if (taken && idle) {
       LockSupport.unpark(thread);
     }
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/SettingsReader.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/SettingsReader.java
@@ -1,6 +1,8 @@
 package org.hickoryshed.kernel.settings;
 
 import java.io.IOException;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -23,7 +25,7 @@
 public final class SettingsReader {
 
   /** A number with a unit of time. */
-  private static final Pattern DURATION = Pattern.compile("(\\d+)\\s*(ms|s|m|h)");
+  private static final Pattern DURATION = Pattern.compile("(\\d+(?:\\.\\d+)?)\\s*(ms|s|m|h)");
 
   /** A number with a unit of size. */
   private static final Pattern SIZE = Pattern.compile("(\\d+)\\s*(B|KB|MB)");
@@ -339,14 +341,20 @@
       problem(key, text, "a duration such as \"250 ms\" (units ms, s, m, h)");
       return Optional.empty();
     }
-    long amount = Long.parseLong(matcher.group(1));
-    return Optional.of(
+    BigDecimal amount = new BigDecimal(matcher.group(1));
+    long millis =
         switch (matcher.group(2)) {
-          case "ms" -> Duration.ofMillis(amount);
-          case "s" -> Duration.ofSeconds(amount);
-          case "m" -> Duration.ofMinutes(amount);
-          default -> Duration.ofHours(amount);
-        });
+          case "ms" -> 1;
+          case "s" -> 1_000;
+          case "m" -> 60_000;
+          default -> 3_600_000;
+        };
+    return Optional.of(
+        Duration.ofMillis(
+            amount
+                .multiply(BigDecimal.valueOf(millis))
+                .setScale(0, RoundingMode.HALF_UP)
+                .longValueExact()));
   }
 
   /**
--- a/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/settings/SettingsReaderTest.java
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/settings/SettingsReaderTest.java
@@ -20,6 +20,14 @@
     assertThat(reader.problems()).isEmpty();
   }
 
+  @Test
+  void readsFractionOfDuration() {
+    SettingsReader reader = new SettingsReader("test.toml", "wait = \"6.5 s\"\n");
+
+    assertThat(reader.duration("wait", FALLBACK)).isEqualTo(Duration.ofMillis(6500));
+    assertThat(reader.problems()).isEmpty();
+  }
+
   @Test
   void reportsUnitWithLineAndWhatWouldBeRight() {
     SettingsReader reader = new SettingsReader(SOURCE, "a = 1\nwait = \"5 parsecs\"");
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementReport.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementReport.java
@@ -1,7 +1,9 @@
 package org.hickoryshed.session.caller;
 
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.journal.LogLine;
@@ -23,8 +25,8 @@
   /** The statement. */
   private final StatementCall call;
 
-  /** Why the last attempt failed. */
-  private String retryReason = "";
+  /** Why attempts failed. */
+  private final Set<String> retryReasons = new HashSet<>();
 
   /** The member of the present attempt. */
   private Optional<MemberPool> member = Optional.empty();
@@ -72,13 +74,12 @@
   }
 
   /**
-   * Logs that the statement is tried again, once for each reason in a row.
+   * Logs that the statement is tried again, once for each reason.
    *
    * @param reason Why the attempt failed.
    */
   void retried(String reason) {
-    if (!reason.equals(retryReason)) {
-      retryReason = reason;
+    if (retryReasons.add(reason)) {
       line("statement-retried").with("reason", reason).write();
       gateway
           .metrics()
