--- a/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DocumentSource.java
+++ b/hickoryshed-failover/src/main/java/org/hickoryshed/failover/DocumentSource.java
@@ -7,6 +7,7 @@
 import org.hickoryshed.decision.membership.VmList;
 import org.hickoryshed.kernel.duty.PeriodicDuty;
 import org.hickoryshed.kernel.service.Service;
+import org.hickoryshed.kernel.settings.Addresses;
 import org.hickoryshed.protocol.message.Message;
 import org.hickoryshed.protocol.peer.Peers;
 
@@ -81,7 +82,7 @@
   /** Asks the proxies, the own VM's first, until one answers. */
   private void ask() {
     for (InetSocketAddress proxy : settings.proxies()) {
-      String address = proxy.getAddress().getHostAddress() + ":" + proxy.getPort();
+      String address = Addresses.write(proxy);
       Message question = new Message.AskDocuments(configuration.revision(), vmList.revision());
       Message reply = peers.call(address, question, TIMEOUT).value().orElse(null);
       if (reply instanceof Message.Documents documents) {
--- a/platform/src/main/java/org/hickoryshed/platform/Addresses.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/Addresses.java
@@ -1,10 +1,10 @@
-package org.hickoryshed.platform;
+package org.hickoryshed.kernel.settings;
 
 import java.net.InetSocketAddress;
 import java.util.regex.Pattern;
 
-/** Addresses as the platform writes them: an IP number, a colon and a port. */
-final class Addresses {
+/** Addresses as texts: an IP number, a colon and a port. */
+public final class Addresses {
 
   /** An IP number with a port. */
   private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
@@ -21,7 +21,7 @@
    * @param text The text.
    * @return {@code true} if it is an IP number with a port.
    */
-  static boolean isAddress(String text) {
+  public static boolean isAddress(String text) {
     return ADDRESS.matcher(text).matches()
         && Integer.parseInt(text.substring(text.indexOf(':') + 1)) <= LARGEST_PORT;
   }
@@ -32,7 +32,7 @@
    * @param text The text.
    * @return The address.
    */
-  static InetSocketAddress read(String text) {
+  public static InetSocketAddress read(String text) {
     int colon = text.indexOf(':');
     return new InetSocketAddress(
         text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
@@ -44,7 +44,7 @@
    * @param address The address.
    * @return The text.
    */
-  static String write(InetSocketAddress address) {
+  public static String write(InetSocketAddress address) {
     return address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
@@ -12,6 +12,7 @@
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.kernel.service.Kernel;
 import org.hickoryshed.kernel.service.Service;
+import org.hickoryshed.kernel.settings.Addresses;
 import org.hickoryshed.protocol.peer.Peers;
 import org.hickoryshed.proxy.document.DocumentFeed;
 import org.hickoryshed.proxy.document.Documents;
@@ -79,8 +80,8 @@
         new DocumentFeed(
             settings,
             documents,
-            new StoreClient(caller, ProxySettings.text(settings.storeAddress())),
-            new VmListClient(caller, ProxySettings.text(settings.vmListAddress())),
+            new StoreClient(caller, Addresses.write(settings.storeAddress())),
+            new VmListClient(caller, Addresses.write(settings.vmListAddress())),
             peers,
             recorder));
     EntryHandler entry = new EntryHandler(settings, documents, peers, poolers, metrics);
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/ProxySettings.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/ProxySettings.java
@@ -71,14 +71,4 @@
         reader.duration("reads.catch-up-wait", CATCH_UP_WAIT),
         reader.bytes("body-limit", BODY_LIMIT));
   }
-
-  /**
-   * Writes an address as IP number and port.
-   *
-   * @param address The address.
-   * @return The address as text.
-   */
-  public static String text(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
-  }
 }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/document/DocumentFeed.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/document/DocumentFeed.java
@@ -15,6 +15,7 @@
 import org.hickoryshed.kernel.event.EventRecorder;
 import org.hickoryshed.kernel.result.Result;
 import org.hickoryshed.kernel.service.Service;
+import org.hickoryshed.kernel.settings.Addresses;
 import org.hickoryshed.protocol.message.Message;
 import org.hickoryshed.protocol.peer.PeerFailure;
 import org.hickoryshed.protocol.peer.Peers;
@@ -168,7 +169,7 @@
       }
     }
     if (others.isEmpty()) {
-      settings.seedPeers().forEach(seed -> others.add(ProxySettings.text(seed)));
+      settings.seedPeers().forEach(seed -> others.add(Addresses.write(seed)));
     }
     if (!others.isEmpty()) {
       ask(others.get(ThreadLocalRandom.current().nextInt(others.size())));
