--- a/hickoryshed-load/src/main/java/org/hickoryshed/load/demonstration/Demonstration.java
+++ b/hickoryshed-load/src/main/java/org/hickoryshed/load/demonstration/Demonstration.java
@@ -154,8 +154,13 @@
             && commit.isDone()
             && before.values().isEmpty()
             && after.values().equals(List.of("frame", "leather")),
-        "before commit %s, after commit %s (%s)"
-            .formatted(before.values(), after.values(), commit.outcome()));
+        "before commit %s, after commit %s (writes %s and %s, commit %s)"
+            .formatted(
+                before.values(),
+                after.values(),
+                frame.outcome(),
+                leather.outcome(),
+                commit.outcome()));
   }
 
   /** Reads the catalogue at a stated age from a replica. */
