Wait for the accepting thread when peers stop

Ruled out: TIME_WAIT (the address is reused), an outgoing port (they start at 32768). Change: stop joins the thread, 2 s at most.

--- a/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/Peers.java
+++ b/hickoryshed-protocol/src/main/java/org/hickoryshed/protocol/peer/Peers.java
@@ -43,6 +43,12 @@
   /** The locks that let one thread open each connection, by address. */
   private final Map<String, Object> locks = new ConcurrentHashMap<>();
 
+  /** The longest time to wait for the thread that accepts connections to end. */
+  private static final Duration STOP_BOUND = Duration.ofSeconds(2);
+
+  /** The thread that accepts connections. */
+  private Thread acceptor;
+
   /** The socket that accepts connections. */
   private ServerSocket server;
 
@@ -74,7 +80,7 @@
     } catch (IOException exception) {
       throw new IllegalStateException("can't listen on " + address, exception);
     }
-    Thread.ofVirtual().name("peer-acceptor").start(this::accept);
+    acceptor = Thread.ofVirtual().name("peer-acceptor").start(this::accept);
   }
 
   @Override
@@ -87,6 +93,18 @@
     IOException cause = new IOException("the process is stopping");
     opened.values().forEach(connection -> connection.close(cause));
     accepted.forEach(connection -> connection.close(cause));
+    awaitAcceptor();
+  }
+
+  /** Waits for the thread that accepts: the address is free only once it has left the socket. */
+  private void awaitAcceptor() {
+    try {
+      if (!acceptor.join(STOP_BOUND)) {
+        Logger.warn("the peer socket is still in use");
+      }
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /**
