--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryFreshness.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryFreshness.java
@@ -1,6 +1,8 @@
 package org.hickoryshed.session.directory;
 
-import org.hickoryshed.session.SessionServer;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.hickoryshed.session.net.EventLoop;
 import org.hickoryshed.session.peer.PeerMessage;
 
 /**
@@ -20,27 +22,26 @@
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
-  /** The server that holds the directory. */
-  private final SessionServer server;
+  /** The loop that owns this watch. */
+  private final EventLoop loop;
 
-  /** What is known of the desired state. */
+  /** The desired state. */
   private final Subject desiredState;
 
-  /** What is known of the members. */
+  /** The members. */
   private final Subject members;
 
   /**
    * Creates the watch.
    *
-   * @param server The server that holds the directory.
-   * @param renewDesiredState Reads the desired state again.
-   * @param renewMembers Reads the members again.
+   * @param loop The loop that owns the watch.
+   * @param desiredState The desired state.
+   * @param members The members.
    */
-  public DirectoryFreshness(
-      SessionServer server, Runnable renewDesiredState, Runnable renewMembers) {
-    this.server = server;
-    desiredState = new Subject(renewDesiredState);
-    members = new Subject(renewMembers);
+  public DirectoryFreshness(EventLoop loop, Subject desiredState, Subject members) {
+    this.loop = loop;
+    this.desiredState = desiredState;
+    this.members = members;
   }
 
   /**
@@ -50,61 +51,53 @@
    */
   public void onMessage(PeerMessage message) {
     if (message instanceof PeerMessage.Heartbeat beat) {
-      if (beat.desiredVersion() > server.desired().version()) {
-        desiredState.expect(beat.desiredVersion());
-      }
-      if (beat.memberRevision() > server.memberRevision()) {
-        members.expect(beat.memberRevision());
-      }
+      expect(desiredState, beat.desiredVersion());
+      expect(members, beat.memberRevision());
     }
   }
 
+  /**
+   * Expects a version and renews the watch if it does not come.
+   *
+   * @param subject The part of the directory.
+   * @param version The version that another proxy knows.
+   */
+  private void expect(Subject subject, long version) {
+    boolean waiting = subject.waitUntil.isPresent() && subject.waitUntil.get() - loop.now() > 0;
+    if (waiting || version <= subject.known.getAsLong()) {
+      return;
+    }
+    subject.waitUntil = Optional.of(loop.now() + RENEWAL_PAUSE_MILLIS * NANOS_IN_MILLI);
+    loop.schedule(
+        PATIENCE_MILLIS,
+        () -> {
+          if (version > subject.known.getAsLong()) {
+            subject.renewal.run();
+          }
+        });
+  }
+
   /** One part of the directory. */
-  private final class Subject {
+  public static final class Subject {
+
+    /** The source of the version that this proxy knows. */
+    private final LongSupplier known;
 
     /** Reads this part again. */
     private final Runnable renewal;
 
-    /** The reading of the steady clock until which no renewal is planned. */
-    private long busyUntil = System.nanoTime();
+    /** The reading of the steady clock until which no renewal is planned, in nanoseconds. */
+    private Optional<Long> waitUntil = Optional.empty();
 
     /**
      * Creates a subject.
      *
+     * @param known The source of the version that this proxy knows.
      * @param renewal Reads this part again.
      */
-    private Subject(Runnable renewal) {
+    public Subject(LongSupplier known, Runnable renewal) {
+      this.known = known;
       this.renewal = renewal;
     }
-
-    /**
-     * Expects a version and renews the watch if it does not come.
-     *
-     * @param version The version that another proxy knows.
-     */
-    private void expect(long version) {
-      if (busyUntil - server.loop().now() > 0) {
-        return;
-      }
-      busyUntil = server.loop().now() + RENEWAL_PAUSE_MILLIS * NANOS_IN_MILLI;
-      server
-          .loop()
-          .schedule(
-              PATIENCE_MILLIS,
-              () -> {
-                if (version > known()) {
-                  renewal.run();
-                }
-              });
-    }
-
-    /**
-     * Returns the version that this proxy knows.
-     *
-     * @return The version.
-     */
-    private long known() {
-      return this == desiredState ? server.desired().version() : server.memberRevision();
-    }
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -43,42 +43,6 @@
   /** The highest number of bytes that wait to be sent to a member. */
   private static final int MEMBER_OUTPUT_BYTES = 4 * 1024 * 1024;
 
-  /**
-   * Creates a context with fresh names of prepared statements.
-   *
-   * @param processName The name of this process.
-   * @param domain The failure domain of this process.
-   * @param regions The regions by the names of their failure domains.
-   * @param keptConnections The number of connections to a member that stay open while idle.
-   * @param proxies The source of the number of proxies that are alive, this one counted.
-   * @param loop The event loop.
-   * @param format The format of the messages.
-   * @param log The log.
-   * @param metrics The metrics.
-   */
-  public MemberContext(
-      String processName,
-      String domain,
-      Map<String, String> regions,
-      int keptConnections,
-      IntSupplier proxies,
-      EventLoop loop,
-      WireFormat format,
-      EventLog log,
-      Metrics metrics) {
-    this(
-        processName,
-        domain,
-        regions,
-        keptConnections,
-        proxies,
-        loop,
-        format,
-        log,
-        metrics,
-        new PreparedNames());
-  }
-
   /**
    * Returns the limits of the buffers of a connection to a member.
    *
