Close the sockets of the event loop when it stops

Ruled out: the stand-ins (they use TCP only) and Undertow (it stops and closes). Before: EventLoopTest 3 of 3 red.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
@@ -34,6 +34,9 @@
   /** The number of connections that wait to be accepted. */
   private static final int ACCEPT_BACKLOG = 1024;
 
+  /** The time in which the thread ends after it was stopped, in milliseconds. */
+  private static final long STOP_MILLIS = 2000;
+
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -208,10 +211,23 @@
     thread.start();
   }
 
+  /** Ends this loop and closes its sockets; their addresses are free when this returns. */
   @Override
   public void stop() {
     active = false;
     selector.wakeup();
+    if (Thread.currentThread() == thread) {
+      return;
+    }
+    try {
+      if (thread.getState() == Thread.State.NEW) {
+        close();
+      } else {
+        thread.join(STOP_MILLIS);
+      }
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /** Runs rounds until this loop is stopped. */
@@ -227,6 +243,19 @@
         Logger.error(exception, "the selector failed");
       }
     }
+    close();
+  }
+
+  /** Closes all channels, then the selector, which lets go of their sockets. */
+  private void close() {
+    try {
+      for (SelectionKey key : selector.keys()) {
+        key.channel().close();
+      }
+      selector.close();
+    } catch (IOException exception) {
+      Logger.warn("a socket was not closed: {}", exception.getMessage());
+    }
   }
 
   /**
--- /dev/null
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/net/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the event loop and its sockets. */
+package org.hickoryshed.session.net;
