Lend connections to members between proxies

Ways weighed: direct connections with smaller shares (less than one each: rejected); leases of connections through the store (priced calls); one proxy of each failure domain holds them for its neighbours, chosen by rendezvous (taken; the hop stays in the failure domain, and the far link is crossed once). A proxy that does not reach a member goes through one that answered in the vote that it does.

--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/sharing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how the proxies share the connections of a member. */
+package org.hickoryshed.decision.sharing;
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -158,6 +158,15 @@
     return serving && !draining;
   }
 
+  /**
+   * Checks if this proxy is about to end.
+   *
+   * @return {@code true} once the shutdown began.
+   */
+  public boolean isDraining() {
+    return draining;
+  }
+
   /**
    * Returns the number of open sessions.
    *
@@ -400,7 +409,7 @@
 
   /** Closes idle connections and looks at the readiness again. */
   private void keepHouse() {
-    databases.values().forEach(Database::closeIdle);
+    databases.values().forEach(Database::keepConnections);
     updateServing();
     loop().schedule(HOUSEKEEPING_MILLIS, this::keepHouse);
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
@@ -1,6 +1,7 @@
 package org.hickoryshed.session.caller;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.freshness.Moment;
 import org.hickoryshed.decision.statement.Access;
@@ -12,7 +13,6 @@
 import org.hickoryshed.session.member.MemberConnection;
 import org.hickoryshed.session.member.MemberPool;
 import org.hickoryshed.session.wire.CallerMessage;
-import org.hickoryshed.session.wire.WireFormat;
 
 /**
  * A statement of a caller and what it belongs to.
@@ -144,26 +144,40 @@
    * Brings a member's session to the state that the statement relies on.
    *
    * @param connection The connection to the member.
-   * @return The name of the prepared statement at the member, if one is executed.
    */
-  Optional<String> prepare(MemberConnection connection) {
+  void prepare(MemberConnection connection) {
     connection.adopt(session.state());
-    return request.statement() instanceof Statement.Execute execute
-        ? session.state().shape(execute.name()).map(connection::prepare)
-        : Optional.empty();
+    preparedShape().ifPresent(connection::prepare);
   }
 
   /**
-   * Writes the text of the statement for a member; a prepared statement is renamed.
+   * Sends the statement to a member; a prepared statement is renamed on the way.
    *
    * @param connection The connection to the member.
-   * @param format The format of the messages.
-   * @return The text.
+   * @param required The position that the member's log must hold, if any.
+   * @param receiver The receiver of the answer.
    */
-  String textFor(MemberConnection connection, WireFormat format) {
-    Optional<String> name = prepare(connection);
-    return name.isPresent() && request.statement() instanceof Statement.Execute execute
-        ? format.executeText(name.get(), execute.arguments())
-        : request.text();
+  void send(
+      MemberConnection connection,
+      Optional<LogPosition> required,
+      Consumer<MemberAnswer> receiver) {
+    connection.adopt(session.state());
+    Optional<Statement.Shape> shape = preparedShape();
+    if (shape.isPresent() && request.statement() instanceof Statement.Execute execute) {
+      connection.execute(request.id(), required, shape.get(), execute.arguments(), receiver);
+    } else {
+      connection.forward(request.id(), required, request.text(), receiver);
+    }
+  }
+
+  /**
+   * Finds what was prepared, if the statement executes it.
+   *
+   * @return The shape or an empty optional if the statement is not an execution.
+   */
+  private Optional<Statement.Shape> preparedShape() {
+    return request.statement() instanceof Statement.Execute execute
+        ? session.state().shape(execute.name())
+        : Optional.empty();
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -272,9 +272,8 @@
     sent++;
     report.sent();
     atMember = true;
-    String text = call.textFor(bound, gateway.format());
     int current = attempt;
-    bound.forward(call.request().id(), position, text, answer -> onAnswer(current, answer));
+    call.send(bound, position, answer -> onAnswer(current, answer));
     if (call.isSingleRead() && sent < READ_ATTEMPTS) {
       attemptTimer.start(READ_ATTEMPT_MILLIS);
     }
@@ -446,9 +445,7 @@
       return;
     }
     report.retried("no answer in time");
-    if (connection.isPresent()) {
-      pool.ifPresent(member -> member.noteTimeout(attemptTimer.started()));
-    }
+    connection.ifPresent(lent -> lent.noteTimeout(attemptTimer.started()));
     pool.ifPresent(member -> excluded.add(member.entry().id()));
     leaveAttempt();
     choose();
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Borrower.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Borrower.java
@@ -26,4 +26,13 @@
 
   /** Handles that the member can't be reached. */
   void onUnavailable();
+
+  /**
+   * Handles the end of the connection that was lent.
+   *
+   * <p>Outstanding statements get their answers by themselves, so most borrowers need not act.
+   *
+   * @param reason What happened to the connection.
+   */
+  default void onConnectionLost(String reason) {}
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -156,6 +156,16 @@
     return members.values().stream().map(member -> member.pool).toList();
   }
 
+  /**
+   * Finds the pool of a member.
+   *
+   * @param id The identifier of the member.
+   * @return The pool or an empty optional if there is no such member.
+   */
+  public Optional<MemberPool> pool(String id) {
+    return Optional.ofNullable(members.get(id)).map(member -> member.pool);
+  }
+
   /**
    * Finds the member that leads as far as it is known.
    *
@@ -321,9 +331,13 @@
     waiters.forEach(Runnable::run);
   }
 
-  /** Closes idle connections that are not needed. */
-  public void closeIdle() {
+  /** Closes idle connections that are not needed and opens those that are to be kept. */
+  public void keepConnections() {
     members.values().forEach(member -> member.pool.closeIdle());
+    members.values().stream()
+        .map(member -> member.pool)
+        .filter(MemberPool::isDirectlyReachable)
+        .forEach(MemberPool::warm);
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Errand.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Errand.java
@@ -17,6 +17,9 @@
   /** The pool of the member. */
   private final MemberPool pool;
 
+  /** Lends a connection to the member. */
+  private final Consumer<Borrower> lender;
+
   /** Sends the statement on a connection and hands its answer to a receiver. */
   private final BiConsumer<MemberConnection, Consumer<MemberAnswer>> request;
 
@@ -34,16 +37,19 @@
    *
    * @param loop The loop.
    * @param pool The pool of the member.
+   * @param lender Lends a connection to the member.
    * @param request Sends the statement on a connection and hands its answer to a receiver.
    * @param result The receiver of the answer, empty if none came in time.
    */
   Errand(
       EventLoop loop,
       MemberPool pool,
+      Consumer<Borrower> lender,
       BiConsumer<MemberConnection, Consumer<MemberAnswer>> request,
       Consumer<Optional<MemberAnswer>> result) {
     this.loop = loop;
     this.pool = pool;
+    this.lender = lender;
     this.request = request;
     this.result = result;
   }
@@ -55,7 +61,7 @@
    */
   void start(long timeoutMillis) {
     loop.schedule(timeoutMillis, () -> finish(Optional.empty()));
-    pool.borrow(this);
+    lender.accept(this);
   }
 
   @Override
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -1,7 +1,7 @@
 package org.hickoryshed.session.member;
 
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.net.Connection;
@@ -14,8 +14,7 @@
  * @param processName The name of this process.
  * @param domain The failure domain of this process.
  * @param regions The regions by the names of their failure domains.
- * @param keptConnections The number of connections to a member that stay open while idle.
- * @param proxies The source of the number of proxies that are alive, this one counted.
+ * @param paths The source of the ways through other proxies.
  * @param loop The event loop.
  * @param format The format of the messages.
  * @param log The log.
@@ -26,8 +25,7 @@
     String processName,
     String domain,
     Map<String, String> regions,
-    int keptConnections,
-    IntSupplier proxies,
+    Supplier<MemberPaths> paths,
     EventLoop loop,
     WireFormat format,
     EventLog log,
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberInquiry.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberInquiry.java
@@ -26,20 +26,21 @@
   }
 
   /**
-   * Finds out whether the member answers and leads.
+   * Finds out whether the member answers this process and leads.
    *
    * @param timeoutMillis The longest time to wait in milliseconds.
    * @param result The receiver of the result.
    */
   public void probe(long timeoutMillis, Consumer<Boolean> result) {
-    if (pool.isReachable()) {
+    if (pool.isDirectlyReachable()) {
       askPosition(
+          pool::borrowDirectly,
           timeoutMillis,
           answer -> result.accept(answer.filter(MemberInquiry::isOfPrimary).isPresent()));
       return;
     }
     pool.tryAgain();
-    context.loop().schedule(timeoutMillis, () -> result.accept(pool.isReachable()));
+    context.loop().schedule(timeoutMillis, () -> result.accept(pool.isDirectlyReachable()));
   }
 
   /**
@@ -49,9 +50,22 @@
    * @param result The receiver of the answer, empty if none came in time.
    */
   public void askPosition(long timeoutMillis, Consumer<Optional<MemberAnswer>> result) {
+    askPosition(pool::borrow, timeoutMillis, result);
+  }
+
+  /**
+   * Asks the member for the position of its log.
+   *
+   * @param lender Lends a connection to the member.
+   * @param timeoutMillis The longest time to wait in milliseconds.
+   * @param result The receiver of the answer, empty if none came in time.
+   */
+  private void askPosition(
+      Consumer<Borrower> lender, long timeoutMillis, Consumer<Optional<MemberAnswer>> result) {
     new Errand(
             context.loop(),
             pool,
+            lender,
             (connection, receiver) -> connection.begin(false, Optional.empty(), receiver),
             result)
         .start(timeoutMillis);
@@ -67,6 +81,7 @@
     new Errand(
             context.loop(),
             pool,
+            pool::borrow,
             MemberConnection::askStatus,
             answer ->
                 result.accept(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -30,9 +30,6 @@
   /** The time in which a member answers an empty statement, without the distance. */
   private static final long DOUBT_MILLIS = 110;
 
-  /** The number of equal shares of the connections of a member that one proxy takes at most. */
-  private static final int SHARES = 2;
-
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -43,10 +40,10 @@
   private final Database database;
 
   /** All connections, those that are being opened too. */
-  private final List<MemberConnection> connections = new ArrayList<>();
+  private final List<DirectConnection> connections = new ArrayList<>();
 
   /** The connections that can be leased. */
-  private final List<MemberConnection> idle = new ArrayList<>();
+  private final List<DirectConnection> idle = new ArrayList<>();
 
   /** The statements that wait for a connection. */
   private final PriorityQueue<Ticket> waiting =
@@ -63,6 +60,9 @@
   /** The number of connections that are being opened. */
   private int opening;
 
+  /** The number of statements that use, or wait for, a connection of another proxy. */
+  private int relayed;
+
   /** The number of the next ticket. */
   private long nextTicket;
 
@@ -127,7 +127,7 @@
   void warm() {
     if (connections.isEmpty()
         && context.loop().now() - refusedUntil >= 0
-        && context.proxies().getAsInt() < database.connectionLimit()) {
+        && paths().share(this).kept() > 0) {
       openConnection();
     }
   }
@@ -142,14 +142,32 @@
   }
 
   /**
-   * Checks if the member answered when it was last asked.
+   * Checks if the member can be reached, be it through another proxy.
    *
    * @return {@code true} if the member is reachable.
    */
   public boolean isReachable() {
+    return isDirectlyReachable() || paths().hasDetour(this);
+  }
+
+  /**
+   * Checks if the member answered this process when it was last asked.
+   *
+   * @return {@code true} if the member is reachable from here.
+   */
+  public boolean isDirectlyReachable() {
     return health.isReachable();
   }
 
+  /**
+   * Returns the highest number of connections to the member from all proxies.
+   *
+   * @return The number of connections.
+   */
+  public int connectionLimit() {
+    return database.connectionLimit();
+  }
+
   /**
    * Notes that the member lacked a required position.
    *
@@ -174,17 +192,28 @@
    * @return The time in nanoseconds.
    */
   double expectedNanos() {
-    int busy = connections.size() - idle.size() - opening + waiting.size();
+    int busy = connections.size() - idle.size() - opening + waiting.size() + relayed;
     return health.meanAnswerNanos() * (1 + busy / (double) Math.max(1, entry.slots()));
   }
 
   /**
-   * Lends a connection now or later.
+   * Lends a connection of this process or of another proxy, now or later.
    *
    * @param borrower The statement that needs a connection.
    */
   public void borrow(Borrower borrower) {
-    MemberConnection found = takeIdle(borrower.session());
+    if (!idle.isEmpty() || !paths().borrow(this, borrower)) {
+      borrowDirectly(borrower);
+    }
+  }
+
+  /**
+   * Lends a connection of this process, now or later.
+   *
+   * @param borrower The statement that needs a connection.
+   */
+  public void borrowDirectly(Borrower borrower) {
+    DirectConnection found = takeIdle(borrower.session());
     if (found != null) {
       lend(found, borrower);
       return;
@@ -199,7 +228,18 @@
    * @param borrower The statement.
    */
   public void cancel(Borrower borrower) {
-    waiting.removeIf(ticket -> ticket.borrower == borrower);
+    if (!paths().cancel(borrower)) {
+      waiting.removeIf(ticket -> ticket.borrower == borrower);
+    }
+  }
+
+  /**
+   * Counts the statements that use connections of other proxies.
+   *
+   * @param change The change of their number.
+   */
+  public void countRelayed(int change) {
+    relayed += change;
   }
 
   /**
@@ -232,7 +272,7 @@
         .schedule(
             DOUBT_MILLIS + 2 * context.distanceMillis(entry.domain()),
             () -> {
-              if (!health.hasAnsweredSince(since) && isReachable() && !retired) {
+              if (!health.hasAnsweredSince(since) && isDirectlyReachable() && !retired) {
                 database.onDoubt(this, "no answer to an empty statement");
               }
             });
@@ -241,8 +281,9 @@
   /** Closes idle connections that are not needed. */
   void closeIdle() {
     long now = context.loop().now();
-    for (MemberConnection connection : List.copyOf(idle)) {
-      if (connections.size() > context.keptConnections()
+    int kept = paths().share(this).kept();
+    for (DirectConnection connection : List.copyOf(idle)) {
+      if (connections.size() > kept
           && now - connection.idleSince() > IDLE_MILLIS * NANOS_IN_MILLI) {
         connection.abort("idle");
       }
@@ -271,7 +312,7 @@
    *
    * @param connection The connection.
    */
-  void onOpened(MemberConnection connection) {
+  void onOpened(DirectConnection connection) {
     opening--;
     refusedPause = 0;
     if (health.noteReachable()) {
@@ -306,7 +347,7 @@
    * @param opened True if the member had taken it.
    * @param reason What happened.
    */
-  void onConnectionClosed(MemberConnection connection, boolean opened, String reason) {
+  void onConnectionClosed(DirectConnection connection, boolean opened, String reason) {
     connections.remove(connection);
     idle.remove(connection);
     if (!opened) {
@@ -315,7 +356,7 @@
         markUnreachable(reason);
       }
     }
-    if (!retired && isReachable()) {
+    if (!retired && isDirectlyReachable()) {
       openIfNeeded();
       warm();
     }
@@ -326,7 +367,7 @@
    *
    * @param connection The connection.
    */
-  void onReleased(MemberConnection connection) {
+  void onReleased(DirectConnection connection) {
     if (retired) {
       connection.abort("the member is gone");
       return;
@@ -344,7 +385,7 @@
    *
    * @param stated The position.
    */
-  void onPosition(LogPosition stated) {
+  public void onPosition(LogPosition stated) {
     position = stated;
     database.floors().observeTerm(stated.term());
   }
@@ -354,7 +395,7 @@
    *
    * @param nanos The time in nanoseconds.
    */
-  void onAnswer(long nanos) {
+  public void onAnswer(long nanos) {
     health.noteAnswer(context.loop().now(), nanos);
   }
 
@@ -364,8 +405,8 @@
    * @param connection The connection.
    * @param borrower The statement that needs it.
    */
-  private static void lend(MemberConnection connection, Borrower borrower) {
-    connection.lease();
+  private static void lend(DirectConnection connection, Borrower borrower) {
+    connection.lease(borrower);
     borrower.onConnection(connection);
   }
 
@@ -375,7 +416,7 @@
    * @param session The session.
    * @return The connection or {@code null} if none is idle.
    */
-  private MemberConnection takeIdle(SessionState session) {
+  private DirectConnection takeIdle(SessionState session) {
     for (int index = idle.size() - 1; index >= 0; index--) {
       if (idle.get(index).holdsValuesOf(session)) {
         return idle.remove(index);
@@ -387,10 +428,11 @@
   /** Opens connections while statements wait for more than are being opened. */
   private void openIfNeeded() {
     int limit = refusedPause > 0 ? 1 : waiting.size();
+    int most = paths().share(this).most();
     while (!retired
-        && isReachable()
+        && isDirectlyReachable()
         && limit > opening
-        && connections.size() < share()
+        && connections.size() < most
         && context.loop().now() - refusedUntil >= 0) {
       if (!openConnection()) {
         return;
@@ -399,14 +441,12 @@
   }
 
   /**
-   * Returns the number of connections that this proxy may hold.
+   * Returns the ways through other proxies.
    *
-   * @return The number of connections.
+   * @return The ways.
    */
-  private int share() {
-    int proxies = context.proxies().getAsInt();
-    int share = SHARES * database.connectionLimit() / Math.max(SHARES, proxies);
-    return Math.max(context.keptConnections() + 1, share);
+  private MemberPaths paths() {
+    return context.paths().get();
   }
 
   /**
@@ -415,7 +455,7 @@
    * @return {@code false} if it failed at once.
    */
   private boolean openConnection() {
-    MemberConnection connection = new MemberConnection(this, context.loop(), context.format());
+    DirectConnection connection = new DirectConnection(this, context.loop(), context.format());
     connections.add(connection);
     opening++;
     context.metrics().counter("member_connections", "domain", entry.domain()).inc();
@@ -453,7 +493,7 @@
     if (retired) {
       return;
     }
-    boolean wasReachable = isReachable();
+    boolean wasReachable = isDirectlyReachable();
     long retryMillis = health.noteUnreachable();
     if (wasReachable) {
       context
@@ -471,7 +511,7 @@
 
   /** Tries to reach a member that failed. */
   void tryAgain() {
-    if (!retired && !isReachable() && opening == 0) {
+    if (!retired && !isDirectlyReachable() && opening == 0) {
       openConnection();
     }
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/SessionState.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/SessionState.java
@@ -67,12 +67,22 @@
     return Optional.ofNullable(prepared.get(name));
   }
 
+  /**
+   * Takes the values of a session that another proxy serves.
+   *
+   * @param present All values.
+   */
+  public void replaceValues(Map<String, String> present) {
+    values.clear();
+    values.putAll(present);
+  }
+
   /**
    * Returns the values.
    *
    * @return The values by their names.
    */
-  Map<String, String> values() {
+  public Map<String, String> values() {
     return values;
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/OutputBuffer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/OutputBuffer.java
@@ -19,19 +19,28 @@
   private int end;
 
   /**
-   * Appends a text whose characters are bytes.
+   * Appends bytes.
    *
-   * @param text The text.
+   * @param added The bytes.
    * @return This buffer.
    */
-  public OutputBuffer append(String text) {
-    byte[] added = text.getBytes(StandardCharsets.ISO_8859_1);
+  public OutputBuffer append(byte[] added) {
     reserve(added.length);
     System.arraycopy(added, 0, bytes, end, added.length);
     end += added.length;
     return this;
   }
 
+  /**
+   * Appends a text whose characters are bytes.
+   *
+   * @param text The text.
+   * @return This buffer.
+   */
+  public OutputBuffer append(String text) {
+    return append(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+
   /**
    * Returns the number of bytes that wait.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -12,16 +12,20 @@
 public sealed interface PeerMessage {
 
   /** The version of the datagrams; others are dropped. */
-  int FORMAT = 2;
+  int FORMAT = 3;
 
   /**
    * Tells that a proxy is alive.
    *
    * @param boot The identifier of the run of the proxy.
+   * @param domain The failure domain of the proxy.
+   * @param leaving True if the proxy is about to end.
    * @param desiredVersion The version of the desired state in force there.
    * @param memberRevision The highest revision of the entries of members that are known there.
    */
-  record Heartbeat(String boot, long desiredVersion, long memberRevision) implements PeerMessage {}
+  record Heartbeat(
+      String boot, String domain, boolean leaving, long desiredVersion, long memberRevision)
+      implements PeerMessage {}
 
   /**
    * Asks whether a primary is reachable.
@@ -87,6 +91,8 @@
             packer
                 .packInt(0)
                 .packString(beat.boot)
+                .packString(beat.domain)
+                .packBoolean(beat.leaving)
                 .packLong(beat.desiredVersion)
                 .packLong(beat.memberRevision);
         case Question question ->
@@ -132,7 +138,11 @@
           switch (unpacker.unpackInt()) {
             case 0 ->
                 new Heartbeat(
-                    unpacker.unpackString(), unpacker.unpackLong(), unpacker.unpackLong());
+                    unpacker.unpackString(),
+                    unpacker.unpackString(),
+                    unpacker.unpackBoolean(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackLong());
             case 1 ->
                 new Question(
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.net.Datagrams;
@@ -23,12 +24,15 @@
   /** The pause between two heartbeats in milliseconds. */
   private static final long HEARTBEAT_MILLIS = 1000;
 
-  /** The number of proxies that one heartbeat goes to at most; they take turns. */
+  /** The number of proxies of other failure domains that one heartbeat goes to; they take turns. */
   private static final int FAN_OUT = 8;
 
   /** The silence after which a proxy counts as gone, in milliseconds for each round of turns. */
   private static final long SILENCE_MILLIS = 2600;
 
+  /** The time for which a proxy that was just added counts though it was not heard, in ms. */
+  private static final long ADDED_MILLIS = 3000;
+
   /** The silence for which a proxy still counts in votes, in milliseconds. */
   private static final long KNOWN_MILLIS = 9000;
 
@@ -44,6 +48,9 @@
   /** The name of this proxy. */
   private final String name;
 
+  /** The failure domain of this proxy. */
+  private final String domain;
+
   /** The source of what a heartbeat tells. */
   private final Supplier<PeerMessage.Heartbeat> heartbeat;
 
@@ -67,6 +74,7 @@
    *
    * @param loop The loop that owns the network.
    * @param name The name of this proxy.
+   * @param domain The failure domain of this proxy.
    * @param heartbeat The source of what a heartbeat tells.
    * @param log The log.
    * @param metrics The metrics.
@@ -74,11 +82,13 @@
   public PeerNetwork(
       EventLoop loop,
       String name,
+      String domain,
       Supplier<PeerMessage.Heartbeat> heartbeat,
       EventLog log,
       Metrics metrics) {
     this.loop = loop;
     this.name = name;
+    this.domain = domain;
     this.heartbeat = heartbeat;
     this.log = log;
     this.metrics = metrics;
@@ -109,6 +119,7 @@
           if (!peer.equals(name) && !peers.containsKey(peer)) {
             Peer added = new Peer(address);
             added.heard = loop.now() - KNOWN_MILLIS * NANOS_IN_MILLI;
+            added.added = loop.now();
             peers.put(peer, added);
             transmit(added, heartbeat.get());
           }
@@ -134,11 +145,48 @@
    */
   public List<String> known() {
     return peers.entrySet().stream()
-        .filter(entry -> loop.now() - entry.getValue().heard < KNOWN_MILLIS * NANOS_IN_MILLI)
+        .filter(entry -> isKnown(entry.getValue()))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /**
+   * Counts the proxies that run or may run, this one included.
+   *
+   * @return The number of proxies.
+   */
+  public int size() {
+    long addedSince = loop.now() - ADDED_MILLIS * NANOS_IN_MILLI;
+    return 1
+        + (int)
+            peers.values().stream()
+                .filter(peer -> isKnown(peer) || peer.added - addedSince > 0)
+                .count();
+  }
+
+  /**
+   * Returns the names of the proxies of this failure domain that are alive and do not leave.
+   *
+   * @return The names, without this proxy's.
+   */
+  public List<String> neighbours() {
+    return peers.entrySet().stream()
+        .filter(entry -> isNear(entry.getValue()) && isAlive(entry.getValue()))
+        .filter(entry -> !entry.getValue().leaving)
         .map(Map.Entry::getKey)
         .toList();
   }
 
+  /**
+   * Finds the address of a proxy that was heard a moment ago.
+   *
+   * @param peer The name of the proxy.
+   * @return The address or an empty optional if the proxy is silent.
+   */
+  public Optional<InetSocketAddress> address(String peer) {
+    return Optional.ofNullable(peers.get(peer)).filter(this::isAlive).map(known -> known.address);
+  }
+
   /**
    * Sends a message to a proxy.
    *
@@ -153,8 +201,7 @@
   private void beat() {
     long now = loop.now();
     peers.values().removeIf(peer -> now - peer.heard > FORGET_MILLIS * NANOS_IN_MILLI);
-    List<String> turn = peers.keySet().stream().limit(FAN_OUT).toList();
-    for (String next : turn) {
+    for (String next : turn()) {
       Peer peer = peers.remove(next);
       peers.put(next, peer);
       transmit(peer, heartbeat.get());
@@ -163,6 +210,18 @@
     loop.schedule(HEARTBEAT_MILLIS, this::beat);
   }
 
+  /**
+   * Chooses the proxies that hear the next heartbeat: all of this failure domain, some of others.
+   *
+   * @return The names.
+   */
+  private List<String> turn() {
+    Stream<String> near = peers.keySet().stream().filter(peer -> isNear(peers.get(peer)));
+    Stream<String> far =
+        peers.keySet().stream().filter(peer -> !isNear(peers.get(peer))).limit(FAN_OUT);
+    return Stream.concat(near, far).toList();
+  }
+
   /**
    * Logs once that a proxy is no longer heard.
    *
@@ -195,6 +254,10 @@
     Peer peer = peers.computeIfAbsent(from, key -> new Peer(source));
     peer.address = source;
     peer.heard = loop.now();
+    if (received.get().message() instanceof PeerMessage.Heartbeat beat) {
+      peer.domain = beat.domain();
+      peer.leaving = beat.leaving();
+    }
     if (!peer.alive) {
       peer.alive = true;
       log.event("peer-heard").with("peer", from).write();
@@ -209,10 +272,30 @@
    * @return {@code true} if it was heard.
    */
   private boolean isAlive(Peer peer) {
-    long rounds = (peers.size() + FAN_OUT - 1) / FAN_OUT;
+    long rounds = isNear(peer) ? 1 : (peers.size() + FAN_OUT - 1) / FAN_OUT;
     return loop.now() - peer.heard < Math.max(1, rounds) * SILENCE_MILLIS * NANOS_IN_MILLI;
   }
 
+  /**
+   * Checks if a proxy was heard not long ago.
+   *
+   * @param peer The proxy.
+   * @return {@code true} if it counts in votes.
+   */
+  private boolean isKnown(Peer peer) {
+    return loop.now() - peer.heard < KNOWN_MILLIS * NANOS_IN_MILLI;
+  }
+
+  /**
+   * Checks if a proxy is in the failure domain of this one.
+   *
+   * @param peer The proxy.
+   * @return {@code true} if it is near.
+   */
+  private boolean isNear(Peer peer) {
+    return peer.domain.equals(domain);
+  }
+
   /**
    * Sends a message.
    *
@@ -241,6 +324,15 @@
     /** The address. */
     private InetSocketAddress address;
 
+    /** The failure domain, empty until the first heartbeat. */
+    private String domain = "";
+
+    /** True if the proxy said that it is about to end. */
+    private boolean leaving;
+
+    /** The reading of the steady clock when the directory named the proxy, in nanoseconds. */
+    private long added;
+
     /** The reading of the steady clock when the proxy was last heard, in nanoseconds. */
     private long heard;
 
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -0,0 +1,332 @@
+package org.hickoryshed.session.relay;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryshed.decision.statement.Access;
+import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.decision.statement.Statement;
+import org.hickoryshed.decision.statement.TransactionState;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads relay messages: a length of four bytes, then MessagePack. */
+final class RelayCodec {
+
+  /** The size of the length in bytes. */
+  static final int HEADER_BYTES = 4;
+
+  /** The size of the longest message in bytes. */
+  static final int LONGEST = 10 * 1024 * 1024;
+
+  /** The size of the first buffer of a message in bytes. */
+  private static final int BUFFER_BYTES = 512;
+
+  /** The settings of the packers. */
+  private static final MessagePack.PackerConfig PACKERS =
+      new MessagePack.PackerConfig().withBufferSize(BUFFER_BYTES);
+
+  /** This class is not instantiated. */
+  private RelayCodec() {}
+
+  /**
+   * Writes a message.
+   *
+   * @param message The message.
+   * @return The message with its length in front.
+   */
+  static byte[] encode(RelayMessage message) {
+    try (MessageBufferPacker packer = PACKERS.newBufferPacker()) {
+      write(packer, message);
+      int length = (int) packer.getTotalWrittenBytes();
+      byte[] content = packer.toByteArray();
+      return ByteBuffer.allocate(HEADER_BYTES + length).putInt(length).put(content).array();
+    } catch (IOException exception) {
+      throw new IllegalStateException("a buffer in memory failed", exception);
+    }
+  }
+
+  /**
+   * Takes the next whole message from the input.
+   *
+   * @param input The input.
+   * @return The message or an empty optional if it is not there yet.
+   * @throws MalformedMessageException If the input is not a relay message.
+   */
+  static Optional<RelayMessage> next(ByteBuffer input) throws MalformedMessageException {
+    if (input.remaining() < HEADER_BYTES) {
+      return Optional.empty();
+    }
+    int length = input.getInt(input.position());
+    if (length < 0 || length > LONGEST) {
+      throw new MalformedMessageException("a message of " + length + " bytes");
+    }
+    if (input.remaining() < HEADER_BYTES + length) {
+      return Optional.empty();
+    }
+    byte[] content = new byte[length];
+    input.position(input.position() + HEADER_BYTES).get(content);
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(content)) {
+      return Optional.of(read(unpacker));
+    } catch (IOException | MessagePackException | IllegalArgumentException exception) {
+      throw new MalformedMessageException(String.valueOf(exception.getMessage()));
+    }
+  }
+
+  /**
+   * Writes the kind and the fields of a message.
+   *
+   * @param packer The packer.
+   * @param message The message.
+   * @throws IOException If the buffer fails.
+   */
+  private static void write(MessageBufferPacker packer, RelayMessage message) throws IOException {
+    switch (message) {
+      case RelayMessage.Borrow borrow ->
+          packer
+              .packInt(0)
+              .packLong(borrow.loan())
+              .packString(borrow.pool())
+              .packString(borrow.member())
+              .packInt(borrow.priority());
+      case RelayMessage.Values values -> {
+        packer.packInt(1).packLong(values.loan()).packInt(values.values().size());
+        for (Map.Entry<String, String> entry : values.values().entrySet()) {
+          packer.packString(entry.getKey()).packString(entry.getValue());
+        }
+      }
+      case RelayMessage.Prepare prepare -> {
+        packer.packInt(2).packLong(prepare.loan());
+        writeShape(packer, prepare.shape());
+      }
+      case RelayMessage.Begin begin -> {
+        packer.packInt(3).packLong(begin.loan()).packBoolean(begin.readOnly());
+        writePosition(packer, begin.required());
+      }
+      case RelayMessage.Forward forward -> {
+        packer.packInt(4).packLong(forward.loan()).packString(forward.id());
+        writePosition(packer, forward.required());
+        packer.packString(forward.text());
+      }
+      case RelayMessage.Execute execute -> {
+        packer.packInt(5).packLong(execute.loan()).packString(execute.id());
+        writePosition(packer, execute.required());
+        writeShape(packer, execute.shape());
+        packer.packString(execute.arguments());
+      }
+      case RelayMessage.AskStatus ask -> packer.packInt(6).packLong(ask.loan());
+      case RelayMessage.Rollback rollback -> packer.packInt(7).packLong(rollback.loan());
+      case RelayMessage.Release release ->
+          packer.packInt(8).packLong(release.loan()).packBoolean(release.timedOut());
+      case RelayMessage.Abort abort ->
+          packer.packInt(9).packLong(abort.loan()).packString(abort.reason());
+      case RelayMessage.Ping ignored -> packer.packInt(10);
+      case RelayMessage.Lent lent -> packer.packInt(11).packLong(lent.loan());
+      case RelayMessage.Unavailable unavailable ->
+          packer.packInt(12).packLong(unavailable.loan()).packString(unavailable.reason());
+      case RelayMessage.Done done -> writeDone(packer, done);
+      case RelayMessage.Failed failed ->
+          packer
+              .packInt(14)
+              .packLong(failed.loan())
+              .packString(failed.kind().name())
+              .packString(failed.text())
+              .packString(failed.state().name());
+      case RelayMessage.Lost lost ->
+          packer.packInt(15).packLong(lost.loan()).packString(lost.reason());
+      case RelayMessage.Ended ended ->
+          packer.packInt(16).packLong(ended.loan()).packString(ended.reason());
+      case RelayMessage.Pong ignored -> packer.packInt(17);
+    }
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @param unpacker The unpacker.
+   * @return The message.
+   * @throws IOException If the content ends early.
+   */
+  private static RelayMessage read(MessageUnpacker unpacker) throws IOException {
+    int kind = unpacker.unpackInt();
+    return switch (kind) {
+      case 0 ->
+          new RelayMessage.Borrow(
+              unpacker.unpackLong(),
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackInt());
+      case 1 -> new RelayMessage.Values(unpacker.unpackLong(), readValues(unpacker));
+      case 2 -> new RelayMessage.Prepare(unpacker.unpackLong(), readShape(unpacker));
+      case 3 ->
+          new RelayMessage.Begin(
+              unpacker.unpackLong(), unpacker.unpackBoolean(), readPosition(unpacker));
+      case 4 ->
+          new RelayMessage.Forward(
+              unpacker.unpackLong(),
+              unpacker.unpackString(),
+              readPosition(unpacker),
+              unpacker.unpackString());
+      case 5 ->
+          new RelayMessage.Execute(
+              unpacker.unpackLong(),
+              unpacker.unpackString(),
+              readPosition(unpacker),
+              readShape(unpacker),
+              unpacker.unpackString());
+      case 6 -> new RelayMessage.AskStatus(unpacker.unpackLong());
+      case 7 -> new RelayMessage.Rollback(unpacker.unpackLong());
+      case 8 -> new RelayMessage.Release(unpacker.unpackLong(), unpacker.unpackBoolean());
+      case 9 -> new RelayMessage.Abort(unpacker.unpackLong(), unpacker.unpackString());
+      case 10 -> new RelayMessage.Ping();
+      case 11 -> new RelayMessage.Lent(unpacker.unpackLong());
+      case 12 -> new RelayMessage.Unavailable(unpacker.unpackLong(), unpacker.unpackString());
+      case 13 -> readDone(unpacker);
+      case 14 ->
+          new RelayMessage.Failed(
+              unpacker.unpackLong(),
+              FailureKind.valueOf(unpacker.unpackString()),
+              unpacker.unpackString(),
+              TransactionState.valueOf(unpacker.unpackString()));
+      case 15 -> new RelayMessage.Lost(unpacker.unpackLong(), unpacker.unpackString());
+      case 16 -> new RelayMessage.Ended(unpacker.unpackLong(), unpacker.unpackString());
+      case 17 -> new RelayMessage.Pong();
+      default -> throw new IllegalArgumentException("a message of the unknown kind " + kind);
+    };
+  }
+
+  /**
+   * Writes a success.
+   *
+   * @param packer The packer.
+   * @param done The success.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeDone(MessageBufferPacker packer, RelayMessage.Done done)
+      throws IOException {
+    packer.packInt(13).packLong(done.loan()).packArrayHeader(done.rows().size());
+    for (String row : done.rows()) {
+      packer.packString(row);
+    }
+    packer.packBoolean(done.proof().isPresent());
+    if (done.proof().isPresent()) {
+      packer.packString(done.proof().get());
+    }
+    packer.packString(done.state().name());
+    writePosition(packer, done.position());
+  }
+
+  /**
+   * Reads a success.
+   *
+   * @param unpacker The unpacker.
+   * @return The success.
+   * @throws IOException If the content ends early.
+   */
+  private static RelayMessage.Done readDone(MessageUnpacker unpacker) throws IOException {
+    long loan = unpacker.unpackLong();
+    int count = unpacker.unpackArrayHeader();
+    List<String> rows = new ArrayList<>();
+    for (int index = 0; index < count; index++) {
+      rows.add(unpacker.unpackString());
+    }
+    Optional<String> proof =
+        unpacker.unpackBoolean() ? Optional.of(unpacker.unpackString()) : Optional.empty();
+    return new RelayMessage.Done(
+        loan,
+        rows,
+        proof,
+        TransactionState.valueOf(unpacker.unpackString()),
+        readPosition(unpacker));
+  }
+
+  /**
+   * Writes a position, if there is one.
+   *
+   * @param packer The packer.
+   * @param position The position.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writePosition(MessageBufferPacker packer, Optional<LogPosition> position)
+      throws IOException {
+    packer.packBoolean(position.isPresent());
+    if (position.isPresent()) {
+      packer.packLong(position.get().term()).packLong(position.get().index());
+    }
+  }
+
+  /**
+   * Reads a position, if there is one.
+   *
+   * @param unpacker The unpacker.
+   * @return The position.
+   * @throws IOException If the content ends early.
+   */
+  private static Optional<LogPosition> readPosition(MessageUnpacker unpacker) throws IOException {
+    return unpacker.unpackBoolean()
+        ? Optional.of(new LogPosition(unpacker.unpackLong(), unpacker.unpackLong()))
+        : Optional.empty();
+  }
+
+  /**
+   * Writes what is prepared.
+   *
+   * @param packer The packer.
+   * @param shape What is prepared.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeShape(MessageBufferPacker packer, Statement.Shape shape)
+      throws IOException {
+    packer.packBoolean(shape.access() == Access.WRITE).packString(shape.text());
+  }
+
+  /**
+   * Reads what is prepared.
+   *
+   * @param unpacker The unpacker.
+   * @return What is prepared.
+   * @throws IOException If the content ends early.
+   */
+  private static Statement.Shape readShape(MessageUnpacker unpacker) throws IOException {
+    return new Statement.Shape(
+        unpacker.unpackBoolean() ? Access.WRITE : Access.READ, unpacker.unpackString());
+  }
+
+  /**
+   * Reads the values of a session.
+   *
+   * @param unpacker The unpacker.
+   * @return The values in their order.
+   * @throws IOException If the content ends early.
+   */
+  private static Map<String, String> readValues(MessageUnpacker unpacker) throws IOException {
+    int count = unpacker.unpackInt();
+    Map<String, String> values = new LinkedHashMap<>();
+    for (int index = 0; index < count; index++) {
+      values.put(unpacker.unpackString(), unpacker.unpackString());
+    }
+    return values;
+  }
+
+  /** The input is not a relay message. */
+  static final class MalformedMessageException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates a new exception.
+     *
+     * @param message What is wrong.
+     */
+    private MalformedMessageException(String message) {
+      super(message);
+    }
+  }
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -248,6 +248,12 @@
   private void onVote(TakeoverCase open, long question, String proxy, boolean reachable) {
     if (open.stage == TakeoverCase.Stage.VOTE && open.question == question) {
       open.vote.answer(proxy, reachable);
+      if (reachable && !proxy.equals(context.processName())) {
+        databases
+            .apply(open.pool)
+            .flatMap(Database::leader)
+            .ifPresent(leader -> context.paths().get().noteReached(leader.entry().id(), proxy));
+      }
       evaluate(open, question, false);
     }
   }
--- /dev/null
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -0,0 +1,77 @@
+package org.hickoryshed.session.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryshed.decision.statement.Access;
+import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.decision.statement.Statement;
+import org.hickoryshed.decision.statement.TransactionState;
+import org.hickoryshed.decision.topology.LogPosition;
+import org.junit.jupiter.api.Test;
+
+/** Tests of the format of relay messages. */
+class RelayCodecTest {
+
+  private static final Optional<LogPosition> POSITION = Optional.of(new LogPosition(3, 1207));
+  private static final Statement.Shape SHAPE = new Statement.Shape(Access.WRITE, "q2c");
+  private static final List<RelayMessage> MESSAGES =
+      List.of(
+          new RelayMessage.Borrow(1, "orders", "m1", 2),
+          new RelayMessage.Values(2, Map.of("currency", "AUD")),
+          new RelayMessage.Prepare(3, SHAPE),
+          new RelayMessage.Begin(4, true, POSITION),
+          new RelayMessage.Begin(4, false, Optional.empty()),
+          new RelayMessage.Forward(5, "5c0e", POSITION, "READ 1a4"),
+          new RelayMessage.Execute(6, "5c0e", Optional.empty(), SHAPE, "1a4 xk\u00e9"),
+          new RelayMessage.AskStatus(7),
+          new RelayMessage.Rollback(8),
+          new RelayMessage.Release(9, true),
+          new RelayMessage.Abort(10, "broken"),
+          new RelayMessage.Ping(),
+          new RelayMessage.Lent(11),
+          new RelayMessage.Unavailable(12, "not known"),
+          new RelayMessage.Done(
+              13, List.of("a", "b"), Optional.of("mac"), TransactionState.OPEN, POSITION),
+          new RelayMessage.Done(
+              13, List.of(), Optional.empty(), TransactionState.IDLE, Optional.empty()),
+          new RelayMessage.Failed(14, FailureKind.BEHIND, "m1", TransactionState.FAILED),
+          new RelayMessage.Lost(15, "closed"),
+          new RelayMessage.Ended(16, "closed"),
+          new RelayMessage.Pong());
+
+  @Test
+  void readsWhatItWrites() throws Exception {
+    for (RelayMessage message : MESSAGES) {
+      ByteBuffer input = ByteBuffer.wrap(RelayCodec.encode(message));
+      assertThat(RelayCodec.next(input)).contains(message);
+      assertThat(input.hasRemaining()).isFalse();
+    }
+  }
+
+  @Test
+  void waitsForTheWholeMessage() throws Exception {
+    byte[] whole = RelayCodec.encode(new RelayMessage.Forward(5, "id", POSITION, "READ 1a4"));
+    for (int length = 0; length < whole.length; length++) {
+      ByteBuffer part = ByteBuffer.wrap(whole, 0, length);
+      assertThat(RelayCodec.next(part)).isEmpty();
+      assertThat(part.remaining()).isEqualTo(length);
+    }
+  }
+
+  @Test
+  void refusesWhatIsNoMessage() {
+    byte[] unknownKind = {0, 0, 0, 1, 99};
+    byte[] tooLong = {127, 0, 0, 0};
+    byte[] negative = {-1, 0, 0, 0};
+    byte[] cutShort = {0, 0, 0, 1, 0};
+    for (byte[] input : List.of(unknownKind, tooLong, negative, cutShort)) {
+      assertThatThrownBy(() -> RelayCodec.next(ByteBuffer.wrap(input)))
+          .isInstanceOf(RelayCodec.MalformedMessageException.class);
+    }
+  }
+}
--- /dev/null
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the connections that proxies lend to each other. */
+package org.hickoryshed.session.relay;
