Refuse statements for an unreachable primary early on a proxy that is cut off

Ruled out: a detour, as no reachable proxy reaches the primary. A vote that too few proxies answered now makes statements that lack a primary end as not run after a quarter of the latency target. Where a takeover is under way they wait as before.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -40,6 +40,15 @@
   /** What the answer to a refused statement says. */
   private static final String COME_BACK = "not run; try again in 100 ms";
 
+  /** What the answer to a statement says that another proxy may serve. */
+  private static final String GO_ELSEWHERE = "not run; cut off from the primary; try another proxy";
+
+  /** The part of the latency target after which a statement is refused that can't be served. */
+  private static final int REFUSAL_PART = 4;
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
   /** The process that serves the session. */
   private final Gateway gateway;
 
@@ -208,7 +217,11 @@
     }
     pool = reader.or(() -> database.get().primary().filter(MemberPool::isReachable));
     if (pool.isEmpty()) {
-      lookAgain("no primary");
+      if (database.get().isCutOff() && isOverdue()) {
+        giveUp(call.whenAnswerIsMissing(false), GO_ELSEWHERE);
+      } else {
+        lookAgain("no primary");
+      }
       return;
     }
     if (reader.isPresent()) {
@@ -466,6 +479,16 @@
     connection = Optional.empty();
   }
 
+  /**
+   * Checks if a refusal now leaves the caller enough of the latency target to try elsewhere.
+   *
+   * @return {@code true} once the statement has waited for a part of the latency target.
+   */
+  private boolean isOverdue() {
+    long waited = gateway.loop().now() - call.arrived().steadyNanos();
+    return waited / NANOS_IN_MILLI >= call.route().latencyTargetMillis() / REFUSAL_PART;
+  }
+
   /** Ends the statement since its time is over. */
   private void onDeadline() {
     if (finished) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -37,6 +37,9 @@
   /** The longest time to wait for a floor in milliseconds. */
   private static final long FLOOR_MILLIS = 120;
 
+  /** The time for which a finding that this process is cut off stands, in milliseconds. */
+  private static final long CUT_OFF_MILLIS = 1200;
+
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
@@ -61,6 +64,12 @@
   /** What waits for a floor. */
   private final List<Runnable> floorWaiters = new ArrayList<>();
 
+  /**
+   * The reading of the steady clock until which this process is taken to be cut off from the
+   * primary while other proxies may reach it, in nanoseconds.
+   */
+  private long cutOffUntil;
+
   /** True while the primary is asked for its position. */
   private boolean askingPrimary;
 
@@ -79,6 +88,7 @@
     this.context = context;
     this.doubts = doubts;
     this.floorQuestions = floorQuestions;
+    cutOffUntil = context.loop().now();
   }
 
   /**
@@ -147,6 +157,20 @@
     }
   }
 
+  /** Notes that neither the primary nor enough other proxies answer this process. */
+  public void noteCutOff() {
+    cutOffUntil = context.loop().now() + CUT_OFF_MILLIS * NANOS_IN_MILLI;
+  }
+
+  /**
+   * Checks if a statement for the primary had better be sent to another proxy.
+   *
+   * @return {@code true} if this process is cut off from the primary and from most proxies.
+   */
+  public boolean isCutOff() {
+    return cutOffUntil - context.loop().now() > 0;
+  }
+
   /**
    * Returns the pools of all members.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverWatch.java
@@ -277,6 +277,7 @@
       case ALIVE -> keep(open, "a proxy reaches it");
       case OPEN -> {
         if (over) {
+          databases.apply(open.pool).ifPresent(Database::noteCutOff);
           keep(open, "too few proxies answered");
         }
       }
