Leave the connections of a proxy that shuts down to its neighbours, and wait for loans at the end

Now it counts itself out, closes what it kept, and ends when the loans are back or the grace is over.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/Shutdown.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/Shutdown.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.IntSupplier;
 import org.hickoryshed.session.journal.EventLog;
 
 /**
  * The graceful end of a process: out of rotation at once, then its idle sessions are closed in
- * parts, then the others as they become idle, then the process ends.
+ * parts, then the others as they become idle, then the process ends, once other proxies have given
+ * its connections back.
  */
 public final class Shutdown {
 
@@ -25,6 +27,9 @@
   /** The server. */
   private final SessionServer server;
 
+  /** The number of connections that other proxies use. */
+  private final IntSupplier lent;
+
   /** The log. */
   private final EventLog log;
 
@@ -38,11 +43,13 @@
    * Creates a new shutdown.
    *
    * @param server The server.
+   * @param lent The number of connections that other proxies use.
    * @param log The log.
    * @param grace The time between the request to stop and the end of the process.
    */
-  public Shutdown(SessionServer server, EventLog log, Duration grace) {
+  public Shutdown(SessionServer server, IntSupplier lent, EventLog log, Duration grace) {
     this.server = server;
+    this.lent = lent;
     this.log = log;
     this.grace = grace;
   }
@@ -65,14 +72,17 @@
         server.closeIdleSessions(step);
         Thread.sleep(STEP_MILLIS);
       }
-      while (server.sessionCount() > 0 && System.nanoTime() - end < 0) {
+      while (server.sessionCount() + lent.getAsInt() > 0 && System.nanoTime() - end < 0) {
         server.closeIdleSessions(1);
         Thread.sleep(STEP_MILLIS);
       }
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
     }
-    log.event("stop").with("sessions-left", server.sessionCount()).write();
+    log.event("stop")
+        .with("sessions-left", server.sessionCount())
+        .with("loans-left", lent.getAsInt())
+        .write();
     log.stop();
     System.exit(0);
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayHost.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayHost.java
@@ -1,10 +1,11 @@
 package org.hickoryshed.session.relay;
 
 import java.nio.ByteBuffer;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hickoryshed.session.member.Borrower;
 import org.hickoryshed.session.member.Database;
@@ -28,10 +29,10 @@
   private final Function<String, Optional<Database>> databases;
 
   /** The loans by their numbers, those that wait for a connection too. */
-  private final Map<Long, Loan> loans = new HashMap<>();
+  private final Map<Long, Loan> loans = new ConcurrentHashMap<>();
 
   /** Hears of the end of the link. */
-  private final Runnable ended;
+  private final Consumer<RelayHost> ended;
 
   /** The underlying connection. */
   private Connection connection;
@@ -43,7 +44,8 @@
    * @param databases Finds a database by the name of its pool.
    * @param ended Hears of the end of the link.
    */
-  RelayHost(EventLoop loop, Function<String, Optional<Database>> databases, Runnable ended) {
+  RelayHost(
+      EventLoop loop, Function<String, Optional<Database>> databases, Consumer<RelayHost> ended) {
     this.loop = loop;
     this.databases = databases;
     this.ended = ended;
@@ -58,6 +60,15 @@
     connection = accepted;
   }
 
+  /**
+   * Counts the connections that the other proxy uses, or waits for.
+   *
+   * @return The number of loans.
+   */
+  int loans() {
+    return loans.size();
+  }
+
   @Override
   public void onConnected() {
     // Links are opened by the borrowing proxy.
@@ -81,7 +92,7 @@
   public void onClosed(String reason) {
     List.copyOf(loans.values()).forEach(loan -> loan.end(false));
     loans.clear();
-    ended.run();
+    ended.accept(this);
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
@@ -8,6 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.hickoryshed.decision.membership.Rendezvous;
 import org.hickoryshed.decision.sharing.ConnectionShare;
@@ -61,6 +64,9 @@
   /** Finds a database by the name of its pool. */
   private final Function<String, Optional<Database>> databases;
 
+  /** Tells whether this proxy is about to end. */
+  private final BooleanSupplier leaving;
+
   /** The log. */
   private final EventLog log;
 
@@ -79,8 +85,8 @@
   /** The chosen holders of connections, by member. */
   private final Map<String, Choice> choices = new HashMap<>();
 
-  /** The number of links from other proxies. */
-  private int hosts;
+  /** The lending ends of the links from other proxies. */
+  private final Set<RelayHost> hosts = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates the loans of a proxy.
@@ -89,6 +95,7 @@
    * @param loop The loop that owns all links.
    * @param peers The other proxies.
    * @param databases Finds a database by the name of its pool.
+   * @param leaving Tells whether this proxy is about to end.
    * @param log The log.
    * @param metrics The metrics.
    */
@@ -97,12 +104,14 @@
       EventLoop loop,
       PeerNetwork peers,
       Function<String, Optional<Database>> databases,
+      BooleanSupplier leaving,
       EventLog log,
       Metrics metrics) {
     this.place = place;
     this.loop = loop;
     this.peers = peers;
     this.databases = databases;
+    this.leaving = leaving;
     this.log = log;
     this.metrics = metrics;
   }
@@ -116,6 +125,15 @@
     loop.listen(address, this::accept);
   }
 
+  /**
+   * Counts the connections that other proxies use, or wait for; may be called by any thread.
+   *
+   * @return The number of loans.
+   */
+  public int lent() {
+    return hosts.stream().mapToInt(RelayHost::loans).sum();
+  }
+
   @Override
   public boolean borrow(MemberPool pool, Borrower borrower) {
     Optional<RelayLink> link = lender(pool).flatMap(this::link);
@@ -195,7 +213,9 @@
     if (known == null || known.until - loop.now() <= 0) {
       List<String> candidates = new ArrayList<>(peers.neighbours());
       candidates.removeIf(proxy -> isAvoided(new Route(proxy, "")));
-      candidates.add(place.name);
+      if (candidates.isEmpty() || !leaving.getAsBoolean()) {
+        candidates.add(place.name);
+      }
       String first = Rendezvous.order(member, candidates, Function.identity()).get(0);
       known = new Choice(first, loop.now() + CHOICE_MILLIS * NANOS_IN_MILLI);
       choices.put(member, known);
@@ -269,18 +289,18 @@
    */
   private void accept(SocketChannel channel) {
     try {
-      if (hosts >= HOSTS) {
+      if (hosts.size() >= HOSTS) {
         metrics.counter("relay_links_refused", "reason", "limit").inc();
         channel.close();
         return;
       }
-      RelayHost host = new RelayHost(loop, databases, () -> hosts--);
+      RelayHost host = new RelayHost(loop, databases, hosts::remove);
       host.attach(
           loop.adopt(
               channel,
               host,
               new Connection.Limits(RelayCodec.HEADER_BYTES + RelayCodec.LONGEST, OUTPUT_BYTES)));
-      hosts++;
+      hosts.add(host);
     } catch (IOException exception) {
       Logger.warn("a link ended while it was accepted: {}", exception.getMessage());
     }
