Give an order without an answer again at once under the next number

Ruled out: the vote (200 ms to the decision) and the early refusal of cut-off proxies (not used then). The platform answers in 14 ms, so the first order waits 120 ms, then 250, then 450, each under a fresh number: a late execution of an older one is refused by its number. takesFreshNumberAfterOrderWithoutAnswer now expects six rising numbers of two tries where it expected two; its promise is the same. Tests that are new: ordersAgainAtOnceWhenAnswerIsMissing, stopsOrderingWhenAnotherProxyTookTheDuty.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/PromotionService.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/PromotionService.java
@@ -1,5 +1,7 @@
 package org.hickoryshed.session.takeover;
 
+import java.time.Duration;
+
 /** The port to the service that makes a member the primary. */
 public interface PromotionService {
 
@@ -8,9 +10,10 @@
    *
    * @param pool The pool.
    * @param record The recorded order.
+   * @param timeout The longest time to wait for an answer.
    * @return What became of it.
    */
-  Outcome promote(String pool, TakeoverRecord record);
+  Outcome promote(String pool, TakeoverRecord record, Duration timeout);
 
   /** What became of an order. */
   sealed interface Outcome {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverOrders.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/takeover/TakeoverOrders.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -26,6 +27,13 @@
   /** The age by the time of day from which an order is surely older than the tenure. */
   private static final Duration SURELY_OLD = Duration.ofSeconds(10);
 
+  /**
+   * The times to wait for an answer. An order without one is given again under the next number, so
+   * that a late execution of the first has no effect.
+   */
+  private static final List<Duration> ANSWER_TIMEOUTS =
+      List.of(Duration.ofMillis(120), Duration.ofMillis(250), Duration.ofMillis(450));
+
   /** The number of orders that wait at most. */
   private static final int WAITING_ORDERS = 64;
 
@@ -117,16 +125,35 @@
    * @return The result.
    */
   OrderResult orderNow(String pool, String member, String reason, Runnable announce) {
-    Optional<TakeoverRecord> claimed = claim(pool, member);
-    if (claimed.isEmpty()) {
-      return OrderResult.NOT_HOLDER;
+    OrderResult result = OrderResult.NOT_HOLDER;
+    for (Duration timeout : ANSWER_TIMEOUTS) {
+      Optional<TakeoverRecord> claimed = claim(pool, member);
+      if (claimed.isEmpty()) {
+        return result;
+      }
+      announce.run();
+      result = give(pool, claimed.get(), reason, timeout);
+      if (result != OrderResult.UNKNOWN) {
+        return result;
+      }
     }
-    TakeoverRecord record = claimed.get();
-    announce.run();
-    PromotionService.Outcome outcome = promotions.promote(pool, record);
+    return result;
+  }
+
+  /**
+   * Gives an order that is recorded.
+   *
+   * @param pool The pool.
+   * @param record The recorded order.
+   * @param reason Why the member is to lead.
+   * @param timeout The longest time to wait for an answer.
+   * @return The result.
+   */
+  private OrderResult give(String pool, TakeoverRecord record, String reason, Duration timeout) {
+    PromotionService.Outcome outcome = promotions.promote(pool, record, timeout);
     log.event("takeover-ordered")
         .with("pool", pool)
-        .with("member", member)
+        .with("member", record.member())
         .with("generation", record.number())
         .with("reason", reason)
         .with("outcome", outcome)
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/takeover/TakeoverOrdersTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/takeover/TakeoverOrdersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.OutputStream;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -52,7 +53,29 @@
     assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.UNKNOWN);
     first.orderNow(POOL, "m2", "test", () -> {});
 
-    assertThat(numbers()).containsExactly(1L, 2L);
+    assertThat(numbers()).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
+  }
+
+  @Test
+  void ordersAgainAtOnceWhenAnswerIsMissing() {
+    promotions.unanswered = 2;
+
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.ACCEPTED);
+    assertThat(numbers()).containsExactly(1L, 2L, 3L);
+    assertThat(records.present.get(POOL).number()).isEqualTo(3);
+  }
+
+  @Test
+  void stopsOrderingWhenAnotherProxyTookTheDuty() {
+    promotions.outcome = new PromotionService.Outcome.Unknown("lost");
+    promotions.afterOrder =
+        () -> {
+          records.present.put(POOL, new TakeoverRecord("second", 9, "m3", millis));
+          records.revisions.merge(POOL, 1L, Long::sum);
+        };
+
+    assertThat(first.orderNow(POOL, "m2", "test", () -> {})).isEqualTo(OrderResult.UNKNOWN);
+    assertThat(numbers()).containsExactly(1L);
   }
 
   @Test
@@ -146,11 +169,14 @@
 
     private final List<TakeoverRecord> orders = new ArrayList<>();
     private Outcome outcome = new Outcome.Accepted();
+    private Runnable afterOrder = () -> {};
+    private int unanswered;
 
     @Override
-    public Outcome promote(String pool, TakeoverRecord record) {
+    public Outcome promote(String pool, TakeoverRecord record, Duration timeout) {
       orders.add(record);
-      return outcome;
+      afterOrder.run();
+      return unanswered-- > 0 ? new Outcome.Unknown("lost") : outcome;
     }
   }
 }
