--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -121,13 +121,13 @@
   }
 
   /**
-   * Keeps one connection open, so that the first statement does not wait for it and a member that
-   * is gone is noticed.
+   * Opens one of the connections that are kept, so that statements do not wait for it and a member
+   * that is gone is noticed.
    */
   void warm() {
-    if (connections.isEmpty()
+    if (opening == 0
         && context.loop().now() - refusedUntil >= 0
-        && paths().share(this).kept() > 0) {
+        && connections.size() < paths().share(this).kept()) {
       openConnection();
     }
   }
