Leave room for proxies that come last: hold a fair share while a member refuses connections

By the members' counts two proxies held all 16 (7 and 9), idle for less than the 1.5 s after which they are closed, and lent again; up to two equal shares each is more than there are. Ruled out: leaked loans (8 idle, 0 lent by the new gauges), the stand-in (no exception, its counts agree). A proxy that is refused for the limit tells the others; for a second all hold a fair share only and close what is over it when it comes back. The gauges stay: connections idle, opening, lent, and statements that wait.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/sharing/ConnectionShare.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/sharing/ConnectionShare.java
@@ -4,9 +4,10 @@
  * How many connections to one member a proxy may hold.
  *
  * @param kept The number of connections that stay open while idle.
+ * @param fair The highest number of connections while the member refuses new ones.
  * @param most The highest number of connections.
  */
-public record ConnectionShare(int kept, int most) {
+public record ConnectionShare(int kept, int fair, int most) {
 
   /** The number of connections that each proxy can have of its own where they are not pooled. */
   private static final int OWN_CONNECTIONS = 2;
@@ -41,7 +42,9 @@
    */
   public static ConnectionShare ofEach(int limit, int proxies, int kept) {
     return new ConnectionShare(
-        kept, Math.max(kept + 1, SHARES * limit / Math.max(SHARES, proxies)));
+        kept,
+        Math.max(1, limit / Math.max(1, proxies)),
+        Math.max(kept + 1, SHARES * limit / Math.max(SHARES, proxies)));
   }
 
   /**
@@ -54,7 +57,7 @@
   public static ConnectionShare ofHolder(int limit, int domains) {
     int equal = Math.max(1, limit / Math.max(1, domains));
     return new ConnectionShare(
-        Math.max(1, equal / 2), Math.max(2, SHARES * limit / Math.max(SHARES, domains)));
+        Math.max(1, equal / 2), equal, Math.max(2, SHARES * limit / Math.max(SHARES, domains)));
   }
 
   /**
@@ -63,6 +66,6 @@
    * @return The share, for times when the holder can't be used.
    */
   public static ConnectionShare ofOthers() {
-    return new ConnectionShare(0, WITHOUT_HOLDER);
+    return new ConnectionShare(0, 1, WITHOUT_HOLDER);
   }
 }
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/sharing/ConnectionShareTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/sharing/ConnectionShareTest.java
@@ -17,7 +17,7 @@
   void givesEachProxyItsOwnWhereThereIsRoom() {
     assertThat(ConnectionShare.isPooled(SMALL_LIMIT, FEW_PROXIES)).isFalse();
     assertThat(ConnectionShare.ofEach(SMALL_LIMIT, FEW_PROXIES, 1))
-        .isEqualTo(new ConnectionShare(1, 4));
+        .isEqualTo(new ConnectionShare(1, 2, 4));
   }
 
   @Test
@@ -31,6 +31,14 @@
     assertThat(kept).isPositive().isLessThanOrEqualTo(LARGE_LIMIT);
   }
 
+  @Test
+  void leavesRoomForEveryProxyWhileConnectionsAreRefused() {
+    int fair = ConnectionShare.ofEach(SMALL_LIMIT, FEW_PROXIES, 1).fair();
+    assertThat(FEW_PROXIES * fair).isPositive().isLessThanOrEqualTo(SMALL_LIMIT);
+    int fairOfHolder = ConnectionShare.ofHolder(LARGE_LIMIT, DOMAINS).fair();
+    assertThat(DOMAINS * fairOfHolder).isPositive().isLessThanOrEqualTo(LARGE_LIMIT);
+  }
+
   @Test
   void keepsNothingOpenBesideTheHolder() {
     assertThat(ConnectionShare.ofOthers().kept()).isZero();
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -23,6 +23,7 @@
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberContext;
 import org.hickoryshed.session.member.MemberPool;
+import org.hickoryshed.session.member.PoolCounts;
 import org.hickoryshed.session.net.Connection;
 import org.hickoryshed.session.net.EventLoop;
 import org.hickoryshed.session.wire.WireFormat;
@@ -76,6 +77,9 @@
   /** True once this process shuts down. */
   private volatile boolean draining;
 
+  /** The connections to all members by their state, once a second, for other threads. */
+  private volatile PoolCounts counts = PoolCounts.NONE;
+
   /** The number of open sessions, for other threads. */
   private volatile int sessionCount;
 
@@ -90,6 +94,10 @@
     this.sessionLimit = sessionLimit;
     context.metrics().gauge("sessions", () -> sessionCount);
     context.metrics().gauge("desired_version", () -> desired.version());
+    context.metrics().gauge("member_connections_idle", () -> counts.idle());
+    context.metrics().gauge("member_connections_opening", () -> counts.opening());
+    context.metrics().gauge("member_connections_lent", () -> counts.lent());
+    context.metrics().gauge("member_statements_waiting", () -> counts.waiting());
     context.metrics().gauge("log_lines_dropped", () -> context.log().dropped());
   }
 
@@ -410,6 +418,11 @@
   /** Closes idle connections and looks at the readiness again. */
   private void keepHouse() {
     databases.values().forEach(Database::keepConnections);
+    counts =
+        databases.values().stream()
+            .flatMap(database -> database.pools().stream())
+            .map(MemberPool::counts)
+            .reduce(PoolCounts.NONE, PoolCounts::plus);
     updateServing();
     loop().schedule(HOUSEKEEPING_MILLIS, this::keepHouse);
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPaths.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPaths.java
@@ -46,4 +46,11 @@
    * @return The share.
    */
   ConnectionShare share(MemberPool pool);
+
+  /**
+   * Tells the other proxies that a member refuses new connections.
+   *
+   * @param pool The pool of the member.
+   */
+  void announceContention(MemberPool pool);
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -27,6 +27,9 @@
   /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
   private static final long IDLE_MILLIS = 1500;
 
+  /** The time after a refusal in which no more than a fair share is held, in milliseconds. */
+  private static final long CONTENDED_MILLIS = 1000;
+
   /** The time in which a member answers an empty statement, without the distance. */
   private static final long DOUBT_MILLIS = 110;
 
@@ -72,6 +75,12 @@
   /** The reading of the steady clock until which no connection is opened. */
   private long refusedUntil;
 
+  /**
+   * The reading of the steady clock until which the member is taken to refuse new connections of
+   * any proxy, in nanoseconds.
+   */
+  private long contendedUntil;
+
   /** The pause after the last refusal, in milliseconds, zero after a success. */
   private long refusedPause;
 
@@ -90,6 +99,7 @@
     this.database = database;
     this.entry = entry;
     refusedUntil = context.loop().now();
+    contendedUntil = refusedUntil;
     health = new MemberHealth(refusedUntil, context.distanceMillis(entry.domain()));
   }
 
@@ -278,6 +288,16 @@
             });
   }
 
+  /**
+   * Counts the connections by their state, and what waits for one.
+   *
+   * @return The counts.
+   */
+  public PoolCounts counts() {
+    int lent = connections.size() - idle.size() - opening;
+    return new PoolCounts(idle.size(), opening, lent, waiting.size());
+  }
+
   /** Closes idle connections that are not needed. */
   void closeIdle() {
     long now = context.loop().now();
@@ -333,6 +353,12 @@
     long pause = ThreadLocalRandom.current().nextLong(refusedPause / 2, refusedPause);
     refusedUntil = context.loop().now() + pause * NANOS_IN_MILLI;
     context.metrics().counter("member_refusals", "kind", kind.name()).inc();
+    if (kind == FailureKind.CONNECTION_LIMIT) {
+      if (!isContended()) {
+        paths().announceContention(this);
+      }
+      noteContention();
+    }
     if (kind == FailureKind.WRONG_MEMBER) {
       markUnreachable("another member at this address: " + text);
     } else {
@@ -372,6 +398,10 @@
       connection.abort("the member is gone");
       return;
     }
+    if (isContended() && connections.size() > paths().share(this).fair()) {
+      connection.abort("left to other proxies");
+      return;
+    }
     Ticket next = waiting.poll();
     if (next != null) {
       lend(connection, next.borrower);
@@ -428,7 +458,7 @@
   /** Opens connections while statements wait for more than are being opened. */
   private void openIfNeeded() {
     int limit = refusedPause > 0 ? 1 : waiting.size();
-    int most = paths().share(this).most();
+    int most = isContended() ? paths().share(this).fair() : paths().share(this).most();
     while (!retired
         && isDirectlyReachable()
         && limit > opening
@@ -440,6 +470,24 @@
     }
   }
 
+  /** Holds no more than a fair share for a while, since the member refuses new connections. */
+  public void noteContention() {
+    contendedUntil = context.loop().now() + CONTENDED_MILLIS * NANOS_IN_MILLI;
+    int surplus = connections.size() - paths().share(this).fair();
+    List.copyOf(idle).stream()
+        .limit(Math.max(0, surplus))
+        .forEach(connection -> connection.abort("left to other proxies"));
+  }
+
+  /**
+   * Checks if the member refused a connection of any proxy a moment ago.
+   *
+   * @return {@code true} if other proxies may lack the connections that this one has.
+   */
+  private boolean isContended() {
+    return contendedUntil - context.loop().now() > 0;
+  }
+
   /**
    * Returns the ways through other proxies.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -77,6 +77,15 @@
    */
   record FloorAnswer(long question, LogPosition position, long ageMillis) implements PeerMessage {}
 
+  /**
+   * Tells that a member refuses new connections, so that a proxy may lack what others have too many
+   * of.
+   *
+   * @param pool The pool.
+   * @param member The identifier of the member.
+   */
+  record Contention(String pool, String member) implements PeerMessage {}
+
   /**
    * Encodes a datagram.
    *
@@ -106,6 +115,8 @@
         case Takeover takeover -> packer.packInt(3).packString(takeover.pool);
         case Lead lead ->
             packer.packInt(6).packString(lead.pool).packString(lead.member).packLong(lead.term);
+        case Contention contention ->
+            packer.packInt(7).packString(contention.pool).packString(contention.member);
         case FloorQuestion question ->
             packer.packInt(4).packString(question.pool).packLong(question.question);
         case FloorAnswer answer ->
@@ -156,6 +167,7 @@
                     unpacker.unpackLong());
             case 6 ->
                 new Lead(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
+            case 7 -> new Contention(unpacker.unpackString(), unpacker.unpackString());
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
@@ -22,6 +22,7 @@
 import org.hickoryshed.session.member.MemberPool;
 import org.hickoryshed.session.net.Connection;
 import org.hickoryshed.session.net.EventLoop;
+import org.hickoryshed.session.peer.PeerMessage;
 import org.hickoryshed.session.peer.PeerNetwork;
 import org.tinylog.Logger;
 
@@ -172,6 +173,27 @@
         : ConnectionShare.ofOthers();
   }
 
+  @Override
+  public void announceContention(MemberPool pool) {
+    PeerMessage.Contention message =
+        new PeerMessage.Contention(pool.entry().pool(), pool.entry().id());
+    peers.alive().forEach(proxy -> peers.send(proxy, message));
+  }
+
+  /**
+   * Handles a message of another proxy.
+   *
+   * @param message The message.
+   */
+  public void onMessage(PeerMessage message) {
+    if (message instanceof PeerMessage.Contention contention) {
+      databases
+          .apply(contention.pool())
+          .flatMap(database -> database.pool(contention.member()))
+          .ifPresent(MemberPool::noteContention);
+    }
+  }
+
   /**
    * Finds the proxy whose connection is to be used for a member.
    *
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -13,6 +13,7 @@
   private static final List<PeerMessage> MESSAGES =
       List.of(
           new PeerMessage.Heartbeat("b00t", "gimpo", true, 17, 23),
+          new PeerMessage.Contention("orders", "m1"),
           new PeerMessage.Question("orders", "m1", 3),
           new PeerMessage.Answer(3, true),
           new PeerMessage.Takeover("orders"),
