--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementCall.java
@@ -32,6 +32,23 @@
     Access access,
     Moment arrived) {
 
+  /** The part of the latency target after which a statement is refused that can't be served. */
+  private static final int REFUSAL_PART = 4;
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
+  /**
+   * Checks if a refusal now leaves the caller enough of the latency target to try elsewhere.
+   *
+   * @param now The reading of the steady clock in nanoseconds.
+   * @return {@code true} once the statement has waited for a part of the latency target.
+   */
+  boolean isOverdue(long now) {
+    long waited = (now - arrived.steadyNanos()) / NANOS_IN_MILLI;
+    return waited >= route.latencyTargetMillis() / REFUSAL_PART;
+  }
+
   /**
    * Checks if the statement commits a transaction.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementRun.java
@@ -43,12 +43,6 @@
   /** What the answer to a statement says that another proxy may serve. */
   private static final String GO_ELSEWHERE = "not run; cut off from the primary; try another proxy";
 
-  /** The part of the latency target after which a statement is refused that can't be served. */
-  private static final int REFUSAL_PART = 4;
-
-  /** Nanoseconds in a millisecond. */
-  private static final long NANOS_IN_MILLI = 1_000_000;
-
   /** The process that serves the session. */
   private final Gateway gateway;
 
@@ -217,7 +211,7 @@
     }
     pool = reader.or(() -> database.get().primary().filter(MemberPool::isReachable));
     if (pool.isEmpty()) {
-      if (database.get().isCutOff() && isOverdue()) {
+      if (database.get().isCutOff() && call.isOverdue(gateway.loop().now())) {
         giveUp(call.whenAnswerIsMissing(false), GO_ELSEWHERE);
       } else {
         lookAgain("no primary");
@@ -342,18 +336,13 @@
    * @param failed The answer.
    */
   private void onFailed(MemberAnswer.Failed failed) {
-    boolean notRun =
-        switch (failed.kind()) {
-          case OVERLOADED, BEHIND, NOT_PRIMARY, UNKNOWN_STATEMENT -> true;
-          default -> false;
-        };
     if (transaction.isPresent()) {
       if (failed.kind() == FailureKind.OVERLOADED && failed.state() == TransactionState.OPEN) {
         forwardAgain();
       } else {
         giveUp(failed.kind(), failed.text());
       }
-    } else if (notRun) {
+    } else if (failed.isNotRun()) {
       onNotRun(failed.kind());
     } else if (call.isSingleRead() && sent < READ_ATTEMPTS) {
       connection.ifPresent(MemberConnection::release);
@@ -479,16 +468,6 @@
     connection = Optional.empty();
   }
 
-  /**
-   * Checks if a refusal now leaves the caller enough of the latency target to try elsewhere.
-   *
-   * @return {@code true} once the statement has waited for a part of the latency target.
-   */
-  private boolean isOverdue() {
-    long waited = gateway.loop().now() - call.arrived().steadyNanos();
-    return waited / NANOS_IN_MILLI >= call.route().latencyTargetMillis() / REFUSAL_PART;
-  }
-
   /** Ends the statement since its time is over. */
   private void onDeadline() {
     if (finished) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -314,7 +314,7 @@
       return;
     }
     Optional<MemberPool> primary = primary().filter(MemberPool::isReachable);
-    if (primary.isEmpty() || !primary.get().hasIdleConnection()) {
+    if (primary.isEmpty() || primary.get().counts().idle() == 0) {
       floorQuestions.accept(this);
     }
     if (primary.isPresent()) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
@@ -43,6 +43,9 @@
   /** The loop that owns the connection. */
   private final EventLoop loop;
 
+  /** The names of prepared statements at members. */
+  private final PreparedNames preparedNames;
+
   /** The exchanges whose answers are outstanding, in the order in which they were sent. */
   private final Deque<MemberExchange> exchanges = new ArrayDeque<>();
 
@@ -89,13 +92,13 @@
    * Creates a new connection.
    *
    * @param pool The pool that owns the connection.
-   * @param loop The loop that owns the connection.
-   * @param format The format of the messages.
+   * @param context What all pools share.
    */
-  DirectConnection(MemberPool pool, EventLoop loop, WireFormat format) {
+  DirectConnection(MemberPool pool, MemberContext context) {
     this.pool = pool;
-    this.loop = loop;
-    this.format = format;
+    loop = context.loop();
+    format = context.format();
+    preparedNames = context.preparedNames();
   }
 
   /**
@@ -217,7 +220,7 @@
    * @return The name of the prepared statement at the member.
    */
   private String preparedName(Statement.Shape shape) {
-    String name = pool.preparedName(shape);
+    String name = preparedNames.of(shape);
     if (prepared.add(name)) {
       sendOwn(Optional.empty(), new Statement.Prepare(name, shape), ignored -> {}, true);
       stateUncertain |= transactionBegun;
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberAnswer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberAnswer.java
@@ -34,7 +34,20 @@
    * @param text The text of the member.
    * @param state The state of the session at the member.
    */
-  record Failed(FailureKind kind, String text, TransactionState state) implements MemberAnswer {}
+  record Failed(FailureKind kind, String text, TransactionState state) implements MemberAnswer {
+
+    /**
+     * Checks if the statement surely did not run.
+     *
+     * @return {@code true} if the member refused it before it ran.
+     */
+    public boolean isNotRun() {
+      return switch (kind) {
+        case OVERLOADED, BEHIND, NOT_PRIMARY, UNKNOWN_STATEMENT -> true;
+        default -> false;
+      };
+    }
+  }
 
   /**
    * The answer did not come or was cut off; the statement may have run.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -50,6 +50,15 @@
     return new Connection.Limits(format.longestMessage() + 2, MEMBER_OUTPUT_BYTES);
   }
 
+  /**
+   * Returns the ways through other proxies.
+   *
+   * @return The ways.
+   */
+  MemberPaths memberPaths() {
+    return paths.get();
+  }
+
   /**
    * Checks if a failure domain lies in the region of this process.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberPool.java
@@ -3,13 +3,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.PriorityQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.sharing.ConnectionShare;
 import org.hickoryshed.decision.statement.FailureKind;
-import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.topology.LogPosition;
 
 /** The connections to one member and the statements that wait for one. */
@@ -18,18 +15,9 @@
   /** The time in which a new connection must be ready, in milliseconds. */
   private static final long OPEN_TIMEOUT_MILLIS = 700;
 
-  /** The first pause after a refusal for the number of connections, in milliseconds. */
-  private static final long FIRST_REFUSED_PAUSE_MILLIS = 40;
-
-  /** The longest pause after refusals in a row, in milliseconds. */
-  private static final long LONGEST_REFUSED_PAUSE_MILLIS = 320;
-
   /** The time after which an idle connection beyond the kept ones is closed, in milliseconds. */
   private static final long IDLE_MILLIS = 1500;
 
-  /** The time after a refusal in which no more than a fair share is held, in milliseconds. */
-  private static final long CONTENDED_MILLIS = 1000;
-
   /** The time in which a member answers an empty statement, without the distance. */
   private static final long DOUBT_MILLIS = 110;
 
@@ -49,14 +37,14 @@
   private final List<DirectConnection> idle = new ArrayList<>();
 
   /** The statements that wait for a connection. */
-  private final PriorityQueue<Ticket> waiting =
-      new PriorityQueue<>(
-          Comparator.comparingInt((Ticket ticket) -> ticket.borrower.priority())
-              .thenComparingLong(ticket -> ticket.number));
+  private final BorrowerQueue waiting = new BorrowerQueue();
 
   /** What is known of the member from its answers. */
   private final MemberHealth health;
 
+  /** What its refusals of new connections mean. */
+  private final OpeningRefusals refusals;
+
   /** The entry of the member. */
   private MemberEntry entry;
 
@@ -66,24 +54,9 @@
   /** The number of statements that use, or wait for, a connection of another proxy. */
   private int relayed;
 
-  /** The number of the next ticket. */
-  private long nextTicket;
-
   /** The last position of the member's log that it stated. */
   private LogPosition position = LogPosition.ORIGIN;
 
-  /** The reading of the steady clock until which no connection is opened. */
-  private long refusedUntil;
-
-  /**
-   * The reading of the steady clock until which the member is taken to refuse new connections of
-   * any proxy, in nanoseconds.
-   */
-  private long contendedUntil;
-
-  /** The pause after the last refusal, in milliseconds, zero after a success. */
-  private long refusedPause;
-
   /** True once the member is no longer used. */
   private boolean retired;
 
@@ -98,9 +71,8 @@
     this.context = context;
     this.database = database;
     this.entry = entry;
-    refusedUntil = context.loop().now();
-    contendedUntil = refusedUntil;
-    health = new MemberHealth(refusedUntil, context.distanceMillis(entry.domain()));
+    refusals = new OpeningRefusals(context.loop().now());
+    health = new MemberHealth(context.loop().now(), context.distanceMillis(entry.domain()));
   }
 
   /**
@@ -136,8 +108,8 @@
    */
   void warm() {
     if (opening == 0
-        && context.loop().now() - refusedUntil >= 0
-        && connections.size() < paths().share(this).kept()) {
+        && refusals.mayOpen(context.loop().now())
+        && connections.size() < context.memberPaths().share(this).kept()) {
       openConnection();
     }
   }
@@ -157,7 +129,7 @@
    * @return {@code true} if the member is reachable.
    */
   public boolean isReachable() {
-    return isDirectlyReachable() || paths().hasDetour(this);
+    return isDirectlyReachable() || context.memberPaths().hasDetour(this);
   }
 
   /**
@@ -212,7 +184,7 @@
    * @param borrower The statement that needs a connection.
    */
   public void borrow(Borrower borrower) {
-    if (!idle.isEmpty() || !paths().borrow(this, borrower)) {
+    if (!idle.isEmpty() || !context.memberPaths().borrow(this, borrower)) {
       borrowDirectly(borrower);
     }
   }
@@ -228,7 +200,7 @@
       lend(found, borrower);
       return;
     }
-    waiting.add(new Ticket(borrower, nextTicket++));
+    waiting.add(borrower);
     openIfNeeded();
   }
 
@@ -238,8 +210,8 @@
    * @param borrower The statement.
    */
   public void cancel(Borrower borrower) {
-    if (!paths().cancel(borrower)) {
-      waiting.removeIf(ticket -> ticket.borrower == borrower);
+    if (!context.memberPaths().cancel(borrower)) {
+      waiting.remove(borrower);
     }
   }
 
@@ -265,15 +237,6 @@
     }
   }
 
-  /**
-   * Checks if a statement can be sent without waiting for a connection.
-   *
-   * @return {@code true} if a connection is idle.
-   */
-  boolean hasIdleConnection() {
-    return !idle.isEmpty();
-  }
-
   /** Raises a doubt if the member answers nothing for longer than an empty statement takes. */
   void watchForAnswer() {
     long since = context.loop().now();
@@ -301,10 +264,11 @@
   /** Closes idle connections that are not needed. */
   void closeIdle() {
     long now = context.loop().now();
-    int kept = paths().share(this).kept();
+    ConnectionShare share = context.memberPaths().share(this);
+    int allowed = refusals.isContended(now) ? share.fair() : share.most();
     for (DirectConnection connection : List.copyOf(idle)) {
-      if (connections.size() > kept
-          && now - connection.idleSince() > IDLE_MILLIS * NANOS_IN_MILLI) {
+      boolean old = now - connection.idleSince() > IDLE_MILLIS * NANOS_IN_MILLI;
+      if (connections.size() > allowed || (connections.size() > share.kept() && old)) {
         connection.abort("idle");
       }
     }
@@ -317,16 +281,6 @@
     failWaiting();
   }
 
-  /**
-   * Returns the name of a prepared statement at every member.
-   *
-   * @param shape What is prepared.
-   * @return The name.
-   */
-  String preparedName(Statement.Shape shape) {
-    return context.preparedNames().of(shape);
-  }
-
   /**
    * Handles a connection that the member took.
    *
@@ -334,7 +288,7 @@
    */
   void onOpened(DirectConnection connection) {
     opening--;
-    refusedPause = 0;
+    refusals.noteOpened();
     if (health.noteReachable()) {
       database.onReachable(this);
     }
@@ -348,14 +302,11 @@
    * @param text The text of the member.
    */
   void onOpeningRefused(FailureKind kind, String text) {
-    refusedPause =
-        Math.clamp(2 * refusedPause, FIRST_REFUSED_PAUSE_MILLIS, LONGEST_REFUSED_PAUSE_MILLIS);
-    long pause = ThreadLocalRandom.current().nextLong(refusedPause / 2, refusedPause);
-    refusedUntil = context.loop().now() + pause * NANOS_IN_MILLI;
+    long pause = refusals.noteRefused(context.loop().now());
     context.metrics().counter("member_refusals", "kind", kind.name()).inc();
     if (kind == FailureKind.CONNECTION_LIMIT) {
-      if (!isContended()) {
-        paths().announceContention(this);
+      if (!refusals.isContended(context.loop().now())) {
+        context.memberPaths().announceContention(this);
       }
       noteContention();
     }
@@ -398,16 +349,12 @@
       connection.abort("the member is gone");
       return;
     }
-    if (isContended() && connections.size() > paths().share(this).fair()) {
+    if (refusals.isContended(context.loop().now())
+        && connections.size() > context.memberPaths().share(this).fair()) {
       connection.abort("left to other proxies");
       return;
     }
-    Ticket next = waiting.poll();
-    if (next != null) {
-      lend(connection, next.borrower);
-    } else {
-      idle.add(connection);
-    }
+    waiting.poll().ifPresentOrElse(next -> lend(connection, next), () -> idle.add(connection));
   }
 
   /**
@@ -457,13 +404,14 @@
 
   /** Opens connections while statements wait for more than are being opened. */
   private void openIfNeeded() {
-    int limit = refusedPause > 0 ? 1 : waiting.size();
-    int most = isContended() ? paths().share(this).fair() : paths().share(this).most();
+    int limit = refusals.wasLastRefused() ? 1 : waiting.size();
+    ConnectionShare share = context.memberPaths().share(this);
+    int most = refusals.isContended(context.loop().now()) ? share.fair() : share.most();
     while (!retired
         && isDirectlyReachable()
         && limit > opening
         && connections.size() < most
-        && context.loop().now() - refusedUntil >= 0) {
+        && refusals.mayOpen(context.loop().now())) {
       if (!openConnection()) {
         return;
       }
@@ -472,29 +420,8 @@
 
   /** Holds no more than a fair share for a while, since the member refuses new connections. */
   public void noteContention() {
-    contendedUntil = context.loop().now() + CONTENDED_MILLIS * NANOS_IN_MILLI;
-    int surplus = connections.size() - paths().share(this).fair();
-    List.copyOf(idle).stream()
-        .limit(Math.max(0, surplus))
-        .forEach(connection -> connection.abort("left to other proxies"));
-  }
-
-  /**
-   * Checks if the member refused a connection of any proxy a moment ago.
-   *
-   * @return {@code true} if other proxies may lack the connections that this one has.
-   */
-  private boolean isContended() {
-    return contendedUntil - context.loop().now() > 0;
-  }
-
-  /**
-   * Returns the ways through other proxies.
-   *
-   * @return The ways.
-   */
-  private MemberPaths paths() {
-    return context.paths().get();
+    refusals.noteContention(context.loop().now());
+    closeIdle();
   }
 
   /**
@@ -503,7 +430,7 @@
    * @return {@code false} if it failed at once.
    */
   private boolean openConnection() {
-    DirectConnection connection = new DirectConnection(this, context.loop(), context.format());
+    DirectConnection connection = new DirectConnection(this, context);
     connections.add(connection);
     opening++;
     context.metrics().counter("member_connections", "domain", entry.domain()).inc();
@@ -566,16 +493,6 @@
 
   /** Tells the waiting statements to look for another member. */
   private void failWaiting() {
-    List<Ticket> failed = List.copyOf(waiting);
-    waiting.clear();
-    failed.forEach(ticket -> ticket.borrower.onUnavailable());
+    waiting.drain().forEach(Borrower::onUnavailable);
   }
-
-  /**
-   * A place in the queue.
-   *
-   * @param borrower The statement that waits.
-   * @param number The number of the ticket, which rises.
-   */
-  private record Ticket(Borrower borrower, long number) {}
 }
