Spread the directory between proxies and let only a few of them watch the store

A proxy that the store turned away, also at its start, learned nothing from its peers, although they told it the versions.

Whoever hears of a newer version asks that proxy over the link for loans. A proxy without the store begins at its seeds. Members carry the revision of the store that shows them, so that removals spread too.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -14,7 +14,9 @@
 import java.util.stream.Collectors;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberChanges;
 import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.directory.MemberList;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.caller.CallerSession;
 import org.hickoryshed.session.caller.Gateway;
@@ -56,8 +58,8 @@
   /** The identifiers of the members whose entries ended a moment ago. */
   private final Set<String> ending = new HashSet<>();
 
-  /** The highest revision of the entries of members. */
-  private long memberRevision;
+  /** The highest revision of the store of which the members are known. */
+  private long memberVersion;
 
   /** The open sessions. */
   private final Set<CallerSession> sessions = new LinkedHashSet<>();
@@ -68,6 +70,9 @@
   /** Asks other proxies for a floor of a database, named by its pool. */
   private BiConsumer<String, Database> floorQuestions = (pool, database) -> {};
 
+  /** Hears that a newer desired state or newer members are known. */
+  private Runnable changes = () -> {};
+
   /** The desired state in force. */
   private volatile DesiredState desired = DesiredState.NONE;
 
@@ -129,6 +134,16 @@
     floorQuestions = questions;
   }
 
+  /**
+   * Takes what hears that a newer desired state or newer members are known, before the loop is
+   * started.
+   *
+   * @param receiver What hears of it.
+   */
+  public void onDirectoryChanges(Runnable receiver) {
+    changes = receiver;
+  }
+
   /**
    * Finds the database of a pool.
    *
@@ -140,12 +155,23 @@
   }
 
   /**
-   * Returns the highest revision of the entries of members that are known.
+   * Returns the highest revision of the store of which the members are known.
    *
-   * @return The revision, zero if no entry is known.
+   * @return The revision, zero if no member is known.
    */
-  public long memberRevision() {
-    return memberRevision;
+  public long memberVersion() {
+    return memberVersion;
+  }
+
+  /**
+   * Returns the members that are registered as far as is known.
+   *
+   * @return The members without those whose entries ended a moment ago.
+   */
+  public MemberList members() {
+    return new MemberList(
+        memberVersion,
+        members.values().stream().filter(entry -> !ending.contains(entry.id())).toList());
   }
 
   /**
@@ -245,18 +271,19 @@
   }
 
   @Override
-  public void onMembers(List<MemberEntry> entries) {
-    loop().submit(() -> replaceMembers(entries));
+  public void onMembers(MemberList update) {
+    loop().submit(() -> replaceMembers(update));
   }
 
   @Override
-  public void onMember(MemberEntry entry) {
-    loop().submit(() -> putMember(entry));
-  }
-
-  @Override
-  public void onMemberRemoved(String id) {
-    loop().submit(() -> removeMemberLater(id));
+  public void onMemberChanges(MemberChanges update) {
+    loop()
+        .submit(
+            () -> {
+              update.changed().forEach(this::putMember);
+              update.ended().forEach(this::removeMemberLater);
+              noteMemberVersion(update.version());
+            });
   }
 
   /**
@@ -307,19 +334,37 @@
     desired = update;
     databases.forEach(this::limitConnections);
     updateServing();
+    changes.run();
   }
 
   /**
-   * Replaces all members.
+   * Replaces all members unless a later list is known.
    *
-   * @param entries The entries of all members.
+   * @param update All members.
    */
-  private void replaceMembers(List<MemberEntry> entries) {
-    Set<String> present = entries.stream().map(MemberEntry::id).collect(Collectors.toSet());
-    entries.forEach(this::putMember);
+  private void replaceMembers(MemberList update) {
+    if (update.version() < memberVersion) {
+      return;
+    }
+    Set<String> present =
+        update.entries().stream().map(MemberEntry::id).collect(Collectors.toSet());
+    update.entries().forEach(this::putMember);
     Set.copyOf(members.keySet()).stream()
         .filter(id -> !present.contains(id))
         .forEach(this::removeMemberLater);
+    noteMemberVersion(update.version());
+  }
+
+  /**
+   * Notes of which revision of the store the members are known.
+   *
+   * @param version The revision.
+   */
+  private void noteMemberVersion(long version) {
+    if (version > memberVersion) {
+      memberVersion = version;
+      changes.run();
+    }
   }
 
   /**
@@ -337,7 +382,6 @@
       removeMember(entry.id());
     }
     members.put(entry.id(), entry);
-    memberRevision = Math.max(memberRevision, entry.revision());
     log()
         .event("member-entry")
         .with("member", entry.id())
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.hickoryshed.kernel.settings.SettingsReader;
 
@@ -15,6 +16,7 @@
  * @param callerAddress The address for callers.
  * @param adminAddress The address for readiness and metrics.
  * @param peerAddress The address for the other proxies.
+ * @param seeds The addresses at which other proxies may be found before the store answers.
  * @param storeAddress The address of the platform's store.
  * @param promotionAddress The address of the platform's service for promotions.
  * @param shutdownGrace The time between the request to stop and the end of the process.
@@ -28,6 +30,7 @@
     InetSocketAddress callerAddress,
     InetSocketAddress adminAddress,
     InetSocketAddress peerAddress,
+    List<InetSocketAddress> seeds,
     InetSocketAddress storeAddress,
     InetSocketAddress promotionAddress,
     Duration shutdownGrace,
@@ -57,17 +60,35 @@
     for (String domain : reader.tables("domains")) {
       regions.put(domain, reader.text("domains." + domain + ".region"));
     }
+    InetSocketAddress peerAddress = reader.address("peer-address");
     return new SessionSettings(
         reader.text("name"),
         reader.text("domain"),
         Map.copyOf(regions),
         reader.address("caller-address"),
         reader.address("admin-address"),
-        reader.address("peer-address"),
+        peerAddress,
+        seeds(reader.addresses("seeds"), peerAddress),
         reader.address("platform.store"),
         reader.address("platform.promotion"),
         reader.duration("shutdown-grace", SHUTDOWN_GRACE),
         reader.integer("kept-connections", KEPT_CONNECTIONS, 1, LARGEST),
         reader.integer("session-limit", SESSION_LIMIT, 1, LARGEST));
   }
+
+  /**
+   * Finds where other proxies may be. All proxies listen for each other on the same port, whichever
+   * service of their VMs a seed names.
+   *
+   * @param seeds The addresses of some VMs.
+   * @param peerAddress The own address for the other proxies.
+   * @return The addresses for proxies on the other VMs.
+   */
+  private static List<InetSocketAddress> seeds(
+      List<InetSocketAddress> seeds, InetSocketAddress peerAddress) {
+    return seeds.stream()
+        .filter(seed -> !seed.getAddress().equals(peerAddress.getAddress()))
+        .map(seed -> new InetSocketAddress(seed.getAddress(), peerAddress.getPort()))
+        .toList();
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryListener.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryListener.java
@@ -1,8 +1,8 @@
 package org.hickoryshed.session.directory;
 
-import java.util.List;
 import org.hickoryshed.decision.directory.DesiredState;
-import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.directory.MemberChanges;
+import org.hickoryshed.decision.directory.MemberList;
 
 /** A listener to the directory of members and to the desired state; any thread may call it. */
 public interface DirectoryListener {
@@ -15,23 +15,16 @@
   void onDesiredState(DesiredState desired);
 
   /**
-   * Handles the complete list of members.
+   * Handles the complete list of members, which may be an older one than is known.
    *
-   * @param entries The entries of all members.
+   * @param members All members.
    */
-  void onMembers(List<MemberEntry> entries);
+  void onMembers(MemberList members);
 
   /**
-   * Handles a new or changed entry.
+   * Handles new, changed and ended entries.
    *
-   * @param entry The entry.
+   * @param changes The changes.
    */
-  void onMember(MemberEntry entry);
-
-  /**
-   * Handles the end of an entry.
-   *
-   * @param id The identifier of the member.
-   */
-  void onMemberRemoved(String id);
+  void onMemberChanges(MemberChanges changes);
 }
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryNews.java
@@ -0,0 +1,17 @@
+package org.hickoryshed.session.directory;
+
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberList;
+
+/**
+ * What a proxy knows beyond the versions of the one that asked.
+ *
+ * @param desired The desired state, empty if it is not newer.
+ * @param members The members, empty if they are not newer.
+ * @param proxies The addresses of the proxies that are alive, by name, for a proxy that just
+ *     started; empty for others.
+ */
+public record DirectoryNews(
+    Optional<DesiredState> desired, Optional<MemberList> members, Map<String, String> proxies) {}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Optional;
+import org.hickoryshed.decision.membership.StoreAccess;
 import org.hickoryshed.decision.topology.LogPosition;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -12,7 +13,7 @@
 public sealed interface PeerMessage {
 
   /** The version of the datagrams; others are dropped. */
-  int FORMAT = 3;
+  int FORMAT = 4;
 
   /**
    * Tells that a proxy is alive.
@@ -21,10 +22,16 @@
    * @param domain The failure domain of the proxy.
    * @param leaving True if the proxy is about to end.
    * @param desiredVersion The version of the desired state in force there.
-   * @param memberRevision The highest revision of the entries of members that are known there.
+   * @param memberVersion The highest revision of the store of which the members are known there.
+   * @param access What the proxy knows of the store at first hand.
    */
   record Heartbeat(
-      String boot, String domain, boolean leaving, long desiredVersion, long memberRevision)
+      String boot,
+      String domain,
+      boolean leaving,
+      long desiredVersion,
+      long memberVersion,
+      StoreAccess access)
       implements PeerMessage {}
 
   /**
@@ -103,7 +110,8 @@
                 .packString(beat.domain)
                 .packBoolean(beat.leaving)
                 .packLong(beat.desiredVersion)
-                .packLong(beat.memberRevision);
+                .packLong(beat.memberVersion)
+                .packString(beat.access.name());
         case Question question ->
             packer
                 .packInt(1)
@@ -153,7 +161,8 @@
                     unpacker.unpackString(),
                     unpacker.unpackBoolean(),
                     unpacker.unpackLong(),
-                    unpacker.unpackLong());
+                    unpacker.unpackLong(),
+                    StoreAccess.valueOf(unpacker.unpackString()));
             case 1 ->
                 new Question(
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
@@ -171,7 +180,7 @@
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
-    } catch (IOException | MessagePackException exception) {
+    } catch (IOException | MessagePackException | IllegalArgumentException exception) {
       // A datagram of another program or version; the receiver counts it.
       return Optional.empty();
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.hickoryshed.decision.membership.StoreAccess;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.net.Datagrams;
@@ -36,6 +38,9 @@
   /** The silence for which a proxy still counts in votes, in milliseconds. */
   private static final long KNOWN_MILLIS = 9000;
 
+  /** The pause between two heartbeats to an address while no proxy is known, in milliseconds. */
+  private static final long SEEK_MILLIS = 250;
+
   /** The silence after which a proxy is forgotten, in milliseconds. */
   private static final long FORGET_MILLIS = 60_000;
 
@@ -170,11 +175,68 @@
    * @return The names, without this proxy's.
    */
   public List<String> neighbours() {
+    return List.copyOf(neighbourAccess().keySet());
+  }
+
+  /**
+   * Returns what the proxies of this failure domain that are alive and do not leave know of the
+   * store.
+   *
+   * @return What they know at first hand, by their names, without this proxy.
+   */
+  public Map<String, StoreAccess> neighbourAccess() {
     return peers.entrySet().stream()
         .filter(entry -> isNear(entry.getValue()) && isAlive(entry.getValue()))
         .filter(entry -> !entry.getValue().leaving)
-        .map(Map.Entry::getKey)
-        .toList();
+        .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().access));
+  }
+
+  /**
+   * Checks if a proxy is in the failure domain of this one.
+   *
+   * @param peer The name of the proxy.
+   * @return {@code true} if it is known to be near.
+   */
+  public boolean isNeighbour(String peer) {
+    return Optional.ofNullable(peers.get(peer)).filter(this::isNear).isPresent();
+  }
+
+  /**
+   * Returns the addresses of the proxies that were heard a moment ago.
+   *
+   * @return The addresses by the names of the proxies.
+   */
+  public Map<String, InetSocketAddress> addresses() {
+    return peers.entrySet().stream()
+        .filter(entry -> isAlive(entry.getValue()))
+        .collect(Collectors.toMap(Map.Entry::getKey, entry -> entry.getValue().address));
+  }
+
+  /** Sends a heartbeat to the proxies of this failure domain ahead of its time. */
+  public void announce() {
+    PeerMessage.Heartbeat news = heartbeat.get();
+    peers.values().stream().filter(this::isNear).forEach(peer -> transmit(peer, news));
+  }
+
+  /**
+   * Sends a heartbeat to one proxy ahead of its time.
+   *
+   * @param peer The name of the proxy.
+   */
+  public void greet(String peer) {
+    send(peer, heartbeat.get());
+  }
+
+  /**
+   * Sends heartbeats to an address whose proxy is not known by name, until one is known.
+   *
+   * @param address The address.
+   */
+  public void seek(InetSocketAddress address) {
+    if (peers.values().stream().noneMatch(this::isAlive)) {
+      datagrams.send(address, heartbeat.get().encode(name));
+      loop.schedule(SEEK_MILLIS, () -> seek(address));
+    }
   }
 
   /**
@@ -257,6 +319,7 @@
     if (received.get().message() instanceof PeerMessage.Heartbeat beat) {
       peer.domain = beat.domain();
       peer.leaving = beat.leaving();
+      peer.access = beat.access();
     }
     if (!peer.alive) {
       peer.alive = true;
@@ -330,6 +393,9 @@
     /** True if the proxy said that it is about to end. */
     private boolean leaving;
 
+    /** What the proxy knows of the store at first hand. */
+    private StoreAccess access = StoreAccess.CUT_OFF;
+
     /** The reading of the steady clock when the directory named the proxy, in nanoseconds. */
     private long added;
 
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/DirectoryCodec.java
@@ -0,0 +1,171 @@
+package org.hickoryshed.session.relay;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hickoryshed.decision.directory.DatabaseRoute;
+import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.directory.MemberList;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads the directory as part of a relay message. */
+final class DirectoryCodec {
+
+  /** This class is not instantiated. */
+  private DirectoryCodec() {}
+
+  /**
+   * Writes what a proxy knows.
+   *
+   * @param packer The packer.
+   * @param news What it knows.
+   * @throws IOException If the buffer fails.
+   */
+  static void write(MessagePacker packer, DirectoryNews news) throws IOException {
+    packer.packBoolean(news.desired().isPresent());
+    if (news.desired().isPresent()) {
+      writeDesired(packer, news.desired().get());
+    }
+    packer.packBoolean(news.members().isPresent());
+    if (news.members().isPresent()) {
+      writeMembers(packer, news.members().get());
+    }
+    packer.packInt(news.proxies().size());
+    for (Map.Entry<String, String> proxy : news.proxies().entrySet()) {
+      packer.packString(proxy.getKey()).packString(proxy.getValue());
+    }
+  }
+
+  /**
+   * Reads what a proxy knows.
+   *
+   * @param unpacker The unpacker.
+   * @return What it knows.
+   * @throws IOException If the content ends early.
+   */
+  static DirectoryNews read(MessageUnpacker unpacker) throws IOException {
+    Optional<DesiredState> desired =
+        unpacker.unpackBoolean() ? Optional.of(readDesired(unpacker)) : Optional.empty();
+    Optional<MemberList> members =
+        unpacker.unpackBoolean() ? Optional.of(readMembers(unpacker)) : Optional.empty();
+    Map<String, String> proxies = new HashMap<>();
+    for (int left = unpacker.unpackInt(); left > 0; left--) {
+      proxies.put(unpacker.unpackString(), unpacker.unpackString());
+    }
+    return new DirectoryNews(desired, members, proxies);
+  }
+
+  /**
+   * Writes a desired state.
+   *
+   * @param packer The packer.
+   * @param desired The desired state.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeDesired(MessagePacker packer, DesiredState desired) throws IOException {
+    packer.packLong(desired.version()).packLong(desired.transactionIdleMillis());
+    packer.packInt(desired.routes().size());
+    for (DatabaseRoute route : desired.routes().values()) {
+      packer
+          .packString(route.database())
+          .packString(route.pool())
+          .packString(route.freshness().name())
+          .packLong(route.maximumAgeMillis())
+          .packLong(route.statementTimeoutMillis())
+          .packLong(route.latencyTargetMillis())
+          .packInt(route.priority());
+    }
+    packer.packInt(desired.pools().size());
+    for (DesiredState.PoolEntry pool : desired.pools().values()) {
+      packer.packString(pool.name()).packInt(pool.connections()).packInt(pool.confirmingReplicas());
+    }
+  }
+
+  /**
+   * Reads a desired state.
+   *
+   * @param unpacker The unpacker.
+   * @return The desired state.
+   * @throws IOException If the content ends early.
+   */
+  private static DesiredState readDesired(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    long transactionIdleMillis = unpacker.unpackLong();
+    Map<String, DatabaseRoute> routes = new HashMap<>();
+    for (int left = unpacker.unpackInt(); left > 0; left--) {
+      DatabaseRoute route =
+          new DatabaseRoute(
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              DatabaseRoute.Freshness.valueOf(unpacker.unpackString()),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong(),
+              unpacker.unpackInt());
+      routes.put(route.database(), route);
+    }
+    Map<String, DesiredState.PoolEntry> pools = new HashMap<>();
+    for (int left = unpacker.unpackInt(); left > 0; left--) {
+      DesiredState.PoolEntry pool =
+          new DesiredState.PoolEntry(
+              unpacker.unpackString(), unpacker.unpackInt(), unpacker.unpackInt());
+      pools.put(pool.name(), pool);
+    }
+    return new DesiredState(version, Map.copyOf(routes), Map.copyOf(pools), transactionIdleMillis);
+  }
+
+  /**
+   * Writes the members.
+   *
+   * @param packer The packer.
+   * @param members The members.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeMembers(MessagePacker packer, MemberList members) throws IOException {
+    packer.packLong(members.version()).packInt(members.entries().size());
+    for (MemberEntry entry : members.entries()) {
+      packer
+          .packString(entry.id())
+          .packString(entry.pool())
+          .packString(entry.address())
+          .packString(entry.domain())
+          .packInt(entry.slots())
+          .packBoolean(entry.draining())
+          .packBoolean(entry.primary())
+          .packLong(entry.bornMillis())
+          .packLong(entry.revision());
+    }
+  }
+
+  /**
+   * Reads the members.
+   *
+   * @param unpacker The unpacker.
+   * @return The members.
+   * @throws IOException If the content ends early.
+   */
+  private static MemberList readMembers(MessageUnpacker unpacker) throws IOException {
+    long version = unpacker.unpackLong();
+    List<MemberEntry> entries = new ArrayList<>();
+    for (int left = unpacker.unpackInt(); left > 0; left--) {
+      entries.add(
+          new MemberEntry(
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackString(),
+              unpacker.unpackInt(),
+              unpacker.unpackBoolean(),
+              unpacker.unpackBoolean(),
+              unpacker.unpackLong(),
+              unpacker.unpackLong()));
+    }
+    return new MemberList(version, List.copyOf(entries));
+  }
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -12,6 +12,7 @@
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -144,6 +145,15 @@
       case RelayMessage.Ended ended ->
           packer.packInt(16).packLong(ended.loan()).packString(ended.reason());
       case RelayMessage.Pong ignored -> packer.packInt(17);
+      case RelayMessage.AskDirectory ask ->
+          packer
+              .packInt(18)
+              .packLong(ask.question().desiredVersion())
+              .packLong(ask.question().memberVersion());
+      case RelayMessage.Directory directory -> {
+        packer.packInt(19);
+        DirectoryCodec.write(packer, directory.news());
+      }
     }
   }
 
@@ -198,6 +208,10 @@
       case 15 -> new RelayMessage.Lost(unpacker.unpackLong(), unpacker.unpackString());
       case 16 -> new RelayMessage.Ended(unpacker.unpackLong(), unpacker.unpackString());
       case 17 -> new RelayMessage.Pong();
+      case 18 ->
+          new RelayMessage.AskDirectory(
+              new DirectoryQuestion(unpacker.unpackLong(), unpacker.unpackLong()));
+      case 19 -> new RelayMessage.Directory(DirectoryCodec.read(unpacker));
       default -> throw new IllegalArgumentException("a message of the unknown kind " + kind);
     };
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayHost.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayHost.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 import org.hickoryshed.session.member.Borrower;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberAnswer;
@@ -28,6 +30,9 @@
   /** Finds a database by the name of its pool. */
   private final Function<String, Optional<Database>> databases;
 
+  /** Answers questions about the directory. */
+  private final Function<DirectoryQuestion, DirectoryNews> directory;
+
   /** The loans by their numbers, those that wait for a connection too. */
   private final Map<Long, Loan> loans = new ConcurrentHashMap<>();
 
@@ -42,12 +47,17 @@
    *
    * @param loop The loop that owns the link.
    * @param databases Finds a database by the name of its pool.
+   * @param directory Answers questions about the directory.
    * @param ended Hears of the end of the link.
    */
   RelayHost(
-      EventLoop loop, Function<String, Optional<Database>> databases, Consumer<RelayHost> ended) {
+      EventLoop loop,
+      Function<String, Optional<Database>> databases,
+      Function<DirectoryQuestion, DirectoryNews> directory,
+      Consumer<RelayHost> ended) {
     this.loop = loop;
     this.databases = databases;
+    this.directory = directory;
     this.ended = ended;
   }
 
@@ -104,6 +114,8 @@
     switch (message) {
       case RelayMessage.Borrow borrow -> lend(borrow);
       case RelayMessage.Ping ignored -> send(new RelayMessage.Pong());
+      case RelayMessage.AskDirectory ask ->
+          send(new RelayMessage.Directory(directory.apply(ask.question())));
       case RelayMessage.ToBorrower ignored -> {
         connection.close();
         onClosed("a message for a borrower");
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLink.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLink.java
@@ -9,6 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 import org.hickoryshed.session.member.Borrower;
 import org.hickoryshed.session.member.MemberPool;
 import org.hickoryshed.session.net.Connection;
@@ -47,6 +50,9 @@
   /** The connections that were lent, by the number of the loan. */
   private final Map<Long, RelayedConnection> loans = new HashMap<>();
 
+  /** Receives the answer to the question about the directory that is open. */
+  private Optional<Consumer<Optional<DirectoryNews>>> directoryReceiver = Optional.empty();
+
   /** The underlying connection. */
   private Connection connection;
 
@@ -101,6 +107,18 @@
     watch();
   }
 
+  /**
+   * Asks for the directory.
+   *
+   * @param question The versions that are known here.
+   * @param receiver Receives the answer, or an empty optional if the link ends before it.
+   */
+  void askDirectory(DirectoryQuestion question, Consumer<Optional<DirectoryNews>> receiver) {
+    directoryReceiver = Optional.of(receiver);
+    send(new RelayMessage.AskDirectory(question));
+    watch();
+  }
+
   /**
    * Withdraws a request for a connection.
    *
@@ -188,6 +206,18 @@
           loan.pool().countRelayed(-1);
           loan.onEnded("the lending proxy is gone: " + reason);
         });
+    onDirectory(Optional.empty());
+  }
+
+  /**
+   * Hands the answer about the directory on.
+   *
+   * @param news The answer or an empty optional if there is none.
+   */
+  private void onDirectory(Optional<DirectoryNews> news) {
+    Optional<Consumer<Optional<DirectoryNews>>> receiver = directoryReceiver;
+    directoryReceiver = Optional.empty();
+    receiver.ifPresent(waiting -> waiting.accept(news));
   }
 
   /**
@@ -224,6 +254,7 @@
       case RelayMessage.Done done -> onAnswer(done.loan(), done);
       case RelayMessage.Failed failed -> onAnswer(failed.loan(), failed);
       case RelayMessage.Lost lost -> onAnswer(lost.loan(), lost);
+      case RelayMessage.Directory directory -> onDirectory(Optional.of(directory.news()));
       case RelayMessage.Pong ignored -> {
         // The time at which the link was heard is noted for all input.
       }
@@ -257,7 +288,9 @@
   private void look() {
     watched = false;
     boolean owes =
-        !requests.isEmpty() || loans.values().stream().anyMatch(RelayedConnection::isWaiting);
+        directoryReceiver.isPresent()
+            || !requests.isEmpty()
+            || loans.values().stream().anyMatch(RelayedConnection::isWaiting);
     if (connection.isClosed() || !owes) {
       return;
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
@@ -7,6 +7,8 @@
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 
 /** A message between a proxy and one that lends it connections to members. */
 sealed interface RelayMessage {
@@ -110,6 +112,20 @@
    */
   record Release(long loan, boolean timedOut) implements ToLender, OfLoan {}
 
+  /**
+   * Asks for the directory.
+   *
+   * @param question The versions that the asking proxy knows.
+   */
+  record AskDirectory(DirectoryQuestion question) implements ToLender {}
+
+  /**
+   * Answers with the directory.
+   *
+   * @param news What the answering proxy knows beyond the versions of the question.
+   */
+  record Directory(DirectoryNews news) implements ToBorrower {}
+
   /**
    * Closes the connection.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
@@ -11,10 +11,14 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.hickoryshed.decision.membership.Rendezvous;
 import org.hickoryshed.decision.sharing.ConnectionShare;
 import org.hickoryshed.kernel.metric.Metrics;
+import org.hickoryshed.session.directory.DirectoryLinks;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 import org.hickoryshed.session.journal.EventLog;
 import org.hickoryshed.session.member.Borrower;
 import org.hickoryshed.session.member.Database;
@@ -33,7 +37,7 @@
  * the connections that the others of that domain borrow. Elsewhere each has its own, and borrows
  * only to reach a member that it is cut off from.
  */
-public final class Relays implements MemberPaths {
+public final class Relays implements MemberPaths, DirectoryLinks {
 
   /** The time for which a proxy whose link failed is not used, in milliseconds. */
   private static final long FAILED_MILLIS = 2000;
@@ -86,6 +90,10 @@
   /** The chosen holders of connections, by member. */
   private final Map<String, Choice> choices = new HashMap<>();
 
+  /** Answers the questions of other proxies about the directory. */
+  private Function<DirectoryQuestion, DirectoryNews> directory =
+      question -> new DirectoryNews(Optional.empty(), Optional.empty(), Map.of());
+
   /** The lending ends of the links from other proxies. */
   private final Set<RelayHost> hosts = ConcurrentHashMap.newKeySet();
 
@@ -117,6 +125,24 @@
     this.metrics = metrics;
   }
 
+  /**
+   * Takes what answers the questions of other proxies about the directory, before the loop is
+   * started.
+   *
+   * @param source What answers them.
+   */
+  public void onDirectoryQuestions(Function<DirectoryQuestion, DirectoryNews> source) {
+    directory = source;
+  }
+
+  @Override
+  public void askDirectory(
+      String proxy, DirectoryQuestion question, Consumer<Optional<DirectoryNews>> receiver) {
+    Optional<RelayLink> link = isAvoided(new Route(proxy, "")) ? Optional.empty() : link(proxy);
+    link.ifPresentOrElse(
+        open -> open.askDirectory(question, receiver), () -> receiver.accept(Optional.empty()));
+  }
+
   /**
    * Listens for proxies that borrow.
    *
@@ -316,7 +342,7 @@
         channel.close();
         return;
       }
-      RelayHost host = new RelayHost(loop, databases, hosts::remove);
+      RelayHost host = new RelayHost(loop, databases, directory, hosts::remove);
       host.attach(
           loop.adopt(
               channel,
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -7,11 +7,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hickoryshed.decision.directory.DatabaseRoute;
+import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberEntry;
+import org.hickoryshed.decision.directory.MemberList;
 import org.hickoryshed.decision.statement.Access;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.directory.DirectoryNews;
+import org.hickoryshed.session.directory.DirectoryQuestion;
 import org.junit.jupiter.api.Test;
 
 /** Tests of the format of relay messages. */
@@ -19,6 +25,17 @@
 
   private static final Optional<LogPosition> POSITION = Optional.of(new LogPosition(3, 1207));
   private static final Statement.Shape SHAPE = new Statement.Shape(Access.WRITE, "q2c");
+  private static final DesiredState DESIRED =
+      new DesiredState(
+          17,
+          Map.of(
+              "lepu270",
+              new DatabaseRoute(
+                  "lepu270", "orders", DatabaseRoute.Freshness.BOUNDED_AGE, 1500, 800, 300, 1)),
+          Map.of("orders", new DesiredState.PoolEntry("orders", 16, 1)),
+          3000);
+  private static final MemberEntry MEMBER =
+      new MemberEntry("m1", "orders", "10.1.64.2:8547", "gimpo", 2, true, false, 1_700L, 19);
   private static final List<RelayMessage> MESSAGES =
       List.of(
           new RelayMessage.Borrow(1, "orders", "m1", 2),
@@ -42,7 +59,15 @@
           new RelayMessage.Failed(14, FailureKind.BEHIND, "m1", TransactionState.FAILED),
           new RelayMessage.Lost(15, "closed"),
           new RelayMessage.Ended(16, "closed"),
-          new RelayMessage.Pong());
+          new RelayMessage.Pong(),
+          new RelayMessage.AskDirectory(new DirectoryQuestion(17, 23)),
+          new RelayMessage.Directory(
+              new DirectoryNews(Optional.empty(), Optional.empty(), Map.of())),
+          new RelayMessage.Directory(
+              new DirectoryNews(
+                  Optional.of(DESIRED),
+                  Optional.of(new MemberList(23, List.of(MEMBER))),
+                  Map.of("front-1", "10.1.0.8:7440"))));
 
   @Test
   void readsWhatItWrites() throws Exception {
