Let a stopping proxy refuse new connections before it closes old ones

It refused at the end of its drain with 503 while it went on accepting, so that callers came back at once on new connections, and then closed connections on which requests were on their way. A draining proxy also answered itself "not served" where it is the pooler of a member, so such requests waited in vain.

Ruled out: answers lost between proxies (all unknown outcomes named the proxy's own caller address).

Change: close the acceptor first, answer on open connections and end each after its answer, close idle ones after 3 s; a draining proxy sends its work to other VMs; quiet includes what is being confirmed. Undertow's own start can't close the acceptor alone, so its listener is opened directly.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/membership/VmList.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/membership/VmList.java
@@ -31,4 +31,13 @@
     List<Vm> staying = all.stream().filter(vm -> !vm.leaving()).toList();
     return staying.isEmpty() ? all : staying;
   }
+
+  /**
+   * Returns the VMs of all failure domains.
+   *
+   * @return The VMs that are not leaving.
+   */
+  public List<Vm> staying() {
+    return entries.stream().filter(vm -> !vm.leaving()).toList();
+  }
 }
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Callers.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/Callers.java
@@ -29,6 +29,7 @@
   private final Queue<Operation> history = new ConcurrentLinkedQueue<>();
   private final Map<String, Set<String>> acknowledged = new ConcurrentHashMap<>();
   private final Map<String, AtomicInteger> outcomes = new ConcurrentHashMap<>();
+  private final Queue<String> unknownDetails = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private volatile boolean active = true;
 
@@ -57,6 +58,11 @@
     return outcomes.getOrDefault(outcome, new AtomicInteger()).get();
   }
 
+  /** Returns what is known of each write with an unknown outcome. */
+  List<String> unknownDetails() {
+    return List.copyOf(unknownDetails);
+  }
+
   /** Waits until some more writes are acknowledged. */
   void awaitWrites(int more) {
     int target = count("done") + more;
@@ -117,6 +123,9 @@
         session.send(
             proxy, Cluster.ORDERS + "/statements", keyed ? request.withKey(value) : request);
     outcomes.computeIfAbsent(answer.outcome(), key -> new AtomicInteger()).incrementAndGet();
+    if (answer.outcome().equals("unknown")) {
+      unknownDetails.add(proxy + ": " + answer.detail());
+    }
     history.add(new Operation.Append(object, value, answer.outcome()));
     if (answer.isDone()) {
       acknowledged.get(object).add(value);
--- a/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ProcessTest.java
+++ b/hickoryshed-dist/src/test/java/org/hickoryshed/dist/ProcessTest.java
@@ -105,7 +105,7 @@
     callers.awaitWrites(SOME);
     callers.stop();
 
-    assertThat(callers.count("unknown")).isZero();
+    assertThat(callers.unknownDetails()).isEmpty();
     assertThat(callers.check()).isEmpty();
   }
 
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
@@ -1,16 +1,28 @@
 package org.hickoryshed.kernel.http;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.handlers.GracefulShutdownHandler;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.hickoryshed.kernel.service.Service;
 import org.tinylog.Logger;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 
 /** An HTTP server that runs each request on a virtual thread of its own. */
 public final class HttpServer implements Service {
@@ -18,17 +30,38 @@
   /** The number of threads that move bytes. */
   private static final int IO_THREADS = 2;
 
+  /** The number of connections that wait to be accepted at most. */
+  private static final int BACKLOG = 1000;
+
   /** The size of an IO buffer in bytes. */
   private static final int BUFFER_SIZE = 8 * 1024;
 
+  /** The longest time for which idle connections stay open while this server drains. */
+  private static final Duration IDLE_BOUND = Duration.ofSeconds(3);
+
+  /** The pause between two looks at the connections while this server drains. */
+  private static final Duration POLL = Duration.ofMillis(20);
+
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_IN_MILLI = 1_000_000;
+
   /** The executor of the requests. */
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
   /** The handler that counts requests in flight. */
   private final GracefulShutdownHandler inFlight;
 
-  /** The server. */
-  private final Undertow server;
+  /** The address to listen on. */
+  private final InetSocketAddress address;
+
+  /** Opens the connections. */
+  private final HttpOpenListener connections;
+
+  /** The threads that move bytes, empty before the start. */
+  private Optional<XnioWorker> worker = Optional.empty();
+
+  /** Accepts connections, empty before the start. */
+  private Optional<AcceptingChannel<StreamConnection>> acceptor = Optional.empty();
 
   /** True while this server drains. */
   private volatile boolean draining;
@@ -40,16 +73,17 @@
    * @param handler The handler of the requests, which may block.
    */
   public HttpServer(InetSocketAddress address, HttpHandler handler) {
+    this.address = address;
     inFlight = new GracefulShutdownHandler(exchange -> dispatch(exchange, handler));
-    server =
-        Undertow.builder()
-            .addHttpListener(address.getPort(), address.getHostString())
-            .setIoThreads(IO_THREADS)
-            .setWorkerThreads(1)
-            .setBufferSize(BUFFER_SIZE)
-            .setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-            .setHandler(this::closeWhileDraining)
-            .build();
+    connections =
+        new HttpOpenListener(
+            new DefaultByteBufferPool(true, BUFFER_SIZE),
+            OptionMap.create(
+                UndertowOptions.BUFFER_PIPELINED_DATA,
+                true,
+                UndertowOptions.ENABLE_CONNECTOR_STATISTICS,
+                true));
+    connections.setRootHandler(this::closeWhileDraining);
   }
 
   /**
@@ -95,33 +129,74 @@
 
   @Override
   public void start() {
-    server.start();
-  }
-
-  /** Ends each connection after its next answer. */
-  public void startDraining() {
-    draining = true;
+    try {
+      XnioWorker started =
+          Xnio.getInstance()
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                      .set(Options.TCP_NODELAY, true)
+                      .getMap());
+      worker = Optional.of(started);
+      AcceptingChannel<StreamConnection> opened =
+          started.createStreamConnectionServer(
+              address,
+              ChannelListeners.openListenerAdapter(connections),
+              OptionMap.builder()
+                  .set(Options.TCP_NODELAY, true)
+                  .set(Options.REUSE_ADDRESSES, true)
+                  .set(Options.BACKLOG, BACKLOG)
+                  .getMap());
+      acceptor = Optional.of(opened);
+      opened.resumeAccepts();
+    } catch (IOException exception) {
+      throw new UncheckedIOException("can't listen on " + address, exception);
+    }
   }
 
   /**
-   * Refuses new requests and waits for those in flight.
+   * Refuses new connections, answers what arrives on the open ones and ends each after its next
+   * answer.
+   *
+   * <p>A connection that this server closes may meet a request on its way, whose outcome its caller
+   * would not know. Idle connections are therefore closed only after callers had time to use them.
    *
-   * @param bound The longest time to wait.
+   * @param bound The longest time to wait for requests in flight.
    * @return {@code true} if no request was left in flight.
    */
   public boolean drain(Duration bound) {
-    inFlight.shutdown();
+    draining = true;
+    acceptor.ifPresent(IoUtils::safeClose);
+    long end = System.nanoTime() + bound.toNanos();
+    long idleEnd = System.nanoTime() + Math.min(bound.toNanos(), IDLE_BOUND.toNanos());
     try {
-      return inFlight.awaitShutdown(bound.toMillis());
+      while (openConnections() > 0 && System.nanoTime() - idleEnd < 0) {
+        Thread.sleep(POLL);
+      }
+      inFlight.shutdown();
+      return inFlight.awaitShutdown(Math.max(0, (end - System.nanoTime()) / NANOS_IN_MILLI));
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
       return false;
     }
   }
 
+  /**
+   * Counts the open connections, idle ones too.
+   *
+   * @return The number of connections.
+   */
+  private long openConnections() {
+    return connections.getConnectorStatistics().getActiveConnections();
+  }
+
   @Override
   public void stop() {
-    server.stop();
+    acceptor.ifPresent(IoUtils::safeClose);
+    connections.closeConnections();
+    worker.ifPresent(XnioWorker::shutdownNow);
     executor.shutdownNow();
   }
 }
--- /dev/null
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/http/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the HTTP server of a process. */
+package org.hickoryshed.kernel.http;
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/Proxy.java
@@ -112,7 +112,6 @@
     draining = true;
     recorder.record("draining", "delay", settings.drainDelay(), "bound", settings.drainBound());
     poolers.drain();
-    callers.startDraining();
     long end = System.nanoTime() + settings.drainBound().toNanos();
     try {
       Thread.sleep(settings.drainDelay());
@@ -120,6 +119,8 @@
       while (!poolers.isQuiet() && System.nanoTime() < end) {
         Thread.sleep(poll);
       }
+      // The last answers are still on their way to other proxies.
+      Thread.sleep(poll);
       recorder.record("drained", "finished", finished && poolers.isQuiet());
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/entry/Forwarder.java
@@ -188,16 +188,22 @@
   }
 
   /**
-   * Returns the VMs that may serve as pooler of a member.
+   * Returns the VMs that may serve as pooler of a member, of any failure domain if this one shuts
+   * down and there is no other one of the member's.
    *
    * @param member The member.
    * @return The VMs, most preferred first.
    */
   private List<Vm> candidates(Member member) {
     long now = System.currentTimeMillis();
+    List<Vm> preferred = preferences(member);
+    if (poolers.isDraining() && preferred.stream().allMatch(this::isSelf)) {
+      preferred = Rendezvous.order(member.name(), documents.vmList().staying(), Vm::name);
+    }
     List<Vm> reachable = new ArrayList<>();
-    for (Vm vm : preferences(member)) {
-      if (unreachableUntil.getOrDefault(vm.name(), 0L) <= now) {
+    for (Vm vm : preferred) {
+      boolean refuses = poolers.isDraining() && isSelf(vm);
+      if (!refuses && unreachableUntil.getOrDefault(vm.name(), 0L) <= now) {
         reachable.add(vm);
       }
     }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/Poolers.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/Poolers.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hickoryshed.client.member.MemberClient;
 import org.hickoryshed.decision.commit.Confirmation;
@@ -65,6 +66,9 @@
   /** The number of the latest transaction. */
   private final AtomicLong latestTransaction = new AtomicLong();
 
+  /** The number of requests that are being run or confirmed. */
+  private final AtomicInteger executing = new AtomicInteger();
+
   /** The duty that reviews limits and preferences. */
   private final PeriodicDuty review;
 
@@ -111,13 +115,22 @@
     recorder.record("poolers-draining");
   }
 
+  /**
+   * Checks if this process hands its work over.
+   *
+   * @return {@code true} if new work is refused.
+   */
+  public boolean isDraining() {
+    return draining;
+  }
+
   /**
    * Checks if nothing is in progress.
    *
-   * @return {@code true} if no work waits or runs and no transaction is open.
+   * @return {@code true} if no work waits, runs or is being confirmed and no transaction is open.
    */
   public boolean isQuiet() {
-    return status().stream().allMatch(PoolerStatus::isQuiet);
+    return executing.get() == 0 && status().stream().allMatch(PoolerStatus::isQuiet);
   }
 
   /**
@@ -136,6 +149,21 @@
    * @return The confirmed outcome and the latest status of the member.
    */
   public Message.Executed execute(Message.Execute request) {
+    executing.incrementAndGet();
+    try {
+      return executeAndConfirm(request);
+    } finally {
+      executing.decrementAndGet();
+    }
+  }
+
+  /**
+   * Runs a request at a member and confirms what it answered.
+   *
+   * @param request The request.
+   * @return The confirmed outcome and the latest status of the member.
+   */
+  private Message.Executed executeAndConfirm(Message.Execute request) {
     Configuration configuration = documents.configuration();
     Optional<Database> database = configuration.database(request.database());
     Optional<Member> member = database.flatMap(found -> found.member(request.member()));
