Stop an HTTP server once, and keep its library's start lines out of the log

Cause: the suite hung for ten minutes in RelayTest. A proxy that a test stops is stopped again at the end; the second close of the acceptor waits for a thread of a worker that has ended (thread dump: WorkerThread.cancelKey below safeClose).

Ruled out: a lost wake-up of the selector (300 starts and stops in a loop: none hung in three settings).

Change: stop does nothing the second time. The library's INFO lines, which are not structured, are no longer written at each start.

After: HttpServerTest.stopsTwice (failed first with RejectedExecutionException), RelayTest 7 of 7.

--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/http/HttpServer.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.logging.Level;
 import org.hickoryshed.kernel.service.Service;
 import org.tinylog.Logger;
 import org.xnio.ChannelListeners;
@@ -45,6 +46,12 @@
   /** Nanoseconds in a millisecond. */
   private static final long NANOS_IN_MILLI = 1_000_000;
 
+  /**
+   * The log of the library, held so that its level stays; processes log their starts themselves.
+   */
+  private static final java.util.logging.Logger LIBRARY_LOG =
+      java.util.logging.Logger.getLogger("org.xnio");
+
   /** The executor of the requests. */
   private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
 
@@ -129,6 +136,7 @@
 
   @Override
   public void start() {
+    LIBRARY_LOG.setLevel(Level.WARNING);
     try {
       XnioWorker started =
           Xnio.getInstance()
@@ -168,7 +176,7 @@
    */
   public boolean drain(Duration bound) {
     draining = true;
-    acceptor.ifPresent(IoUtils::safeClose);
+    closeAcceptor();
     long end = System.nanoTime() + bound.toNanos();
     long idleEnd = System.nanoTime() + Math.min(bound.toNanos(), IDLE_BOUND.toNanos());
     try {
@@ -183,6 +191,13 @@
     }
   }
 
+  /** Refuses new connections. A second close would wait for a thread that may have ended. */
+  private synchronized void closeAcceptor() {
+    Optional<AcceptingChannel<StreamConnection>> open = acceptor;
+    acceptor = Optional.empty();
+    open.ifPresent(IoUtils::safeClose);
+  }
+
   /**
    * Counts the open connections, idle ones too.
    *
@@ -193,10 +208,14 @@
   }
 
   @Override
-  public void stop() {
-    acceptor.ifPresent(IoUtils::safeClose);
-    connections.closeConnections();
-    worker.ifPresent(XnioWorker::shutdownNow);
-    executor.shutdownNow();
+  public synchronized void stop() {
+    Optional<XnioWorker> running = worker;
+    worker = Optional.empty();
+    if (running.isPresent()) {
+      closeAcceptor();
+      connections.closeConnections();
+      running.get().shutdownNow();
+      executor.shutdownNow();
+    }
   }
 }
--- a/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/http/HttpServerTest.java
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/http/HttpServerTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Tests of the graceful end of an HTTP server. */
 class HttpServerTest {
@@ -64,6 +65,16 @@
     }
   }
 
+  @Test
+  @Timeout(10)
+  void stopsTwice() throws Exception {
+    try (Socket open = new Socket(address.getAddress(), address.getPort())) {
+      assertThat(ask(open)).startsWith("HTTP/1.1 200");
+      server.stop();
+      server.stop();
+    }
+  }
+
   private void awaitRefusal() throws Exception {
     for (int tries = 0; tries < TRIES; tries++) {
       try {
