--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryExchange.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryExchange.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.hickoryshed.decision.directory.DesiredState;
+import org.hickoryshed.decision.directory.MemberList;
 import org.hickoryshed.decision.membership.StoreAccess;
 import org.hickoryshed.kernel.settings.Addresses;
 import org.hickoryshed.session.SessionServer;
@@ -189,8 +190,12 @@
     asked = Optional.empty();
     log.event("directory-asked")
         .with("peer", claim.proxy)
-        .with("desired-version", news.flatMap(DirectoryNews::desired).map(DesiredState::version))
-        .with("member-version", news.flatMap(DirectoryNews::members).map(list -> list.version()))
+        .with(
+            "desired-version",
+            news.flatMap(DirectoryNews::desired).map(DesiredState::version).orElse(0L))
+        .with(
+            "member-version",
+            news.flatMap(DirectoryNews::members).map(MemberList::version).orElse(0L))
         .with("outcome", news.isPresent() ? "answered" : "no answer")
         .write();
     news.ifPresentOrElse(this::apply, this::renewWatches);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -89,6 +89,21 @@
    * @throws IOException If the buffer fails.
    */
   private static void write(MessageBufferPacker packer, RelayMessage message) throws IOException {
+    switch (message) {
+      case RelayMessage.ToLender toLender -> writeToLender(packer, toLender);
+      case RelayMessage.ToBorrower toBorrower -> writeToBorrower(packer, toBorrower);
+    }
+  }
+
+  /**
+   * Writes a message for a lender.
+   *
+   * @param packer The packer.
+   * @param message The message.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeToLender(MessageBufferPacker packer, RelayMessage.ToLender message)
+      throws IOException {
     switch (message) {
       case RelayMessage.Borrow borrow ->
           packer
@@ -129,6 +144,24 @@
       case RelayMessage.Abort abort ->
           packer.packInt(9).packLong(abort.loan()).packString(abort.reason());
       case RelayMessage.Ping ignored -> packer.packInt(10);
+      case RelayMessage.AskDirectory ask ->
+          packer
+              .packInt(18)
+              .packLong(ask.question().desiredVersion())
+              .packLong(ask.question().memberVersion());
+    }
+  }
+
+  /**
+   * Writes a message for a borrower.
+   *
+   * @param packer The packer.
+   * @param message The message.
+   * @throws IOException If the buffer fails.
+   */
+  private static void writeToBorrower(MessageBufferPacker packer, RelayMessage.ToBorrower message)
+      throws IOException {
+    switch (message) {
       case RelayMessage.Lent lent -> packer.packInt(11).packLong(lent.loan());
       case RelayMessage.Unavailable unavailable ->
           packer.packInt(12).packLong(unavailable.loan()).packString(unavailable.reason());
@@ -145,11 +178,6 @@
       case RelayMessage.Ended ended ->
           packer.packInt(16).packLong(ended.loan()).packString(ended.reason());
       case RelayMessage.Pong ignored -> packer.packInt(17);
-      case RelayMessage.AskDirectory ask ->
-          packer
-              .packInt(18)
-              .packLong(ask.question().desiredVersion())
-              .packLong(ask.question().memberVersion());
       case RelayMessage.Directory directory -> {
         packer.packInt(19);
         DirectoryCodec.write(packer, directory.news());
