--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -68,6 +68,9 @@
   /** The other proxies by their names; the one that was asked longest ago comes first. */
   private final Map<String, Peer> peers = new LinkedHashMap<>();
 
+  /** The number of the proxies that run or may run, this one included. */
+  private int size = 1;
+
   /** The socket. */
   private Datagrams datagrams;
 
@@ -126,6 +129,7 @@
             added.heard = loop.now() - KNOWN_MILLIS * NANOS_IN_MILLI;
             added.added = loop.now();
             peers.put(peer, added);
+            count();
             transmit(added, heartbeat.get());
           }
         });
@@ -156,17 +160,23 @@
   }
 
   /**
-   * Counts the proxies that run or may run, this one included.
+   * Returns the number of the proxies that run or may run, this one included.
    *
-   * @return The number of proxies.
+   * @return The number as of the last heartbeat or the last proxy that was found since.
    */
   public int size() {
+    return size;
+  }
+
+  /** Counts the proxies that run or may run, this one included. */
+  private void count() {
     long addedSince = loop.now() - ADDED_MILLIS * NANOS_IN_MILLI;
-    return 1
-        + (int)
-            peers.values().stream()
-                .filter(peer -> isKnown(peer) || peer.added - addedSince > 0)
-                .count();
+    size =
+        1
+            + (int)
+                peers.values().stream()
+                    .filter(peer -> isKnown(peer) || peer.added - addedSince > 0)
+                    .count();
   }
 
   /**
@@ -263,6 +273,7 @@
   private void beat() {
     long now = loop.now();
     peers.values().removeIf(peer -> now - peer.heard > FORGET_MILLIS * NANOS_IN_MILLI);
+    count();
     for (String next : turn()) {
       Peer peer = peers.remove(next);
       peers.put(next, peer);
@@ -323,6 +334,7 @@
     }
     if (!peer.alive) {
       peer.alive = true;
+      count();
       log.event("peer-heard").with("peer", from).write();
     }
     listener.onMessage(from, received.get().message());
