Take a changed settings file without a restart

Cause: SIGHUP was only logged, and a file that changed without a signal was not noticed. Operators had to roll all proxies for a new address of the store.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
@@ -46,8 +47,8 @@
   /** What all pools share. */
   private final MemberContext context;
 
-  /** The highest number of sessions. */
-  private final int sessionLimit;
+  /** The source of the highest number of sessions, which may change. */
+  private final IntSupplier sessionLimit;
 
   /** The databases by the names of their pools. */
   private final Map<String, Database> databases = new HashMap<>();
@@ -92,9 +93,9 @@
    * Creates a new server.
    *
    * @param context What all pools share.
-   * @param sessionLimit The highest number of sessions.
+   * @param sessionLimit The source of the highest number of sessions.
    */
-  public SessionServer(MemberContext context, int sessionLimit) {
+  public SessionServer(MemberContext context, IntSupplier sessionLimit) {
     this.context = context;
     this.sessionLimit = sessionLimit;
     context.metrics().gauge("sessions", () -> sessionCount);
@@ -294,7 +295,7 @@
   private void accept(SocketChannel channel) {
     CallerSession session = new CallerSession(this);
     try {
-      if (sessions.size() >= sessionLimit) {
+      if (sessions.size() >= sessionLimit.getAsInt()) {
         metrics().counter("sessions_refused", "reason", "limit").inc();
         channel.close();
         return;
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
@@ -76,6 +76,28 @@
         reader.integer("session-limit", SESSION_LIMIT, 1, LARGEST));
   }
 
+  /**
+   * Takes what may change while the process runs from newer settings.
+   *
+   * @param newer The newer settings.
+   * @return These settings with the name, the place and the own addresses that they had.
+   */
+  public SessionSettings withChangesOf(SessionSettings newer) {
+    return new SessionSettings(
+        name,
+        domain,
+        regions,
+        callerAddress,
+        adminAddress,
+        peerAddress,
+        newer.seeds,
+        newer.storeAddress,
+        newer.promotionAddress,
+        newer.shutdownGrace,
+        newer.keptConnections,
+        newer.sessionLimit);
+  }
+
   /**
    * Finds where other proxies may be. All proxies listen for each other on the same port, whichever
    * service of their VMs a seed names.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/Shutdown.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/Shutdown.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.hickoryshed.session.journal.EventLog;
 
 /**
@@ -33,8 +34,8 @@
   /** The log. */
   private final EventLog log;
 
-  /** The time between the request to stop and the end of the process. */
-  private final Duration grace;
+  /** The source of the time between the request to stop and the end of the process. */
+  private final Supplier<Duration> grace;
 
   /** True once the shutdown has started. */
   private final AtomicBoolean started = new AtomicBoolean();
@@ -45,9 +46,9 @@
    * @param server The server.
    * @param lent The number of connections that other proxies use.
    * @param log The log.
-   * @param grace The time between the request to stop and the end of the process.
+   * @param grace The source of the time between the request to stop and the end of the process.
    */
-  public Shutdown(SessionServer server, IntSupplier lent, EventLog log, Duration grace) {
+  public Shutdown(SessionServer server, IntSupplier lent, EventLog log, Supplier<Duration> grace) {
     this.server = server;
     this.lent = lent;
     this.log = log;
@@ -65,9 +66,9 @@
 
   /** Closes the sessions and ends the process. */
   private void run() {
-    long end = System.nanoTime() + grace.toNanos() - RESERVE_MILLIS * 1_000_000;
+    long end = System.nanoTime() + grace.get().toNanos() - RESERVE_MILLIS * 1_000_000;
     try {
-      Thread.sleep(Math.min(ROTATION_MILLIS, grace.toMillis() / 2));
+      Thread.sleep(Math.min(ROTATION_MILLIS, grace.get().toMillis() / 2));
       for (int step = STEPS; step > 0; step--) {
         server.closeIdleSessions(step);
         Thread.sleep(STEP_MILLIS);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/Relays.java
@@ -13,6 +13,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.hickoryshed.decision.membership.Rendezvous;
 import org.hickoryshed.decision.sharing.ConnectionShare;
 import org.hickoryshed.kernel.metric.Metrics;
@@ -58,7 +59,7 @@
   private static final long NANOS_IN_MILLI = 1_000_000;
 
   /** The name and place of this proxy. */
-  private final Place place;
+  private final Supplier<Place> place;
 
   /** The loop that owns all links. */
   private final EventLoop loop;
@@ -100,7 +101,7 @@
   /**
    * Creates the loans of a proxy.
    *
-   * @param place The name and place of this proxy.
+   * @param place The source of the name and place of this proxy.
    * @param loop The loop that owns all links.
    * @param peers The other proxies.
    * @param databases Finds a database by the name of its pool.
@@ -109,7 +110,7 @@
    * @param metrics The metrics.
    */
   public Relays(
-      Place place,
+      Supplier<Place> place,
       EventLoop loop,
       PeerNetwork peers,
       Function<String, Optional<Database>> databases,
@@ -192,10 +193,10 @@
     int limit = pool.connectionLimit();
     int proxies = peers.size();
     if (!ConnectionShare.isPooled(limit, proxies)) {
-      return ConnectionShare.ofEach(limit, proxies, place.keptConnections);
+      return ConnectionShare.ofEach(limit, proxies, place.get().keptConnections);
     }
     return holder(pool).isEmpty()
-        ? ConnectionShare.ofHolder(limit, place.domains)
+        ? ConnectionShare.ofHolder(limit, place.get().domains)
         : ConnectionShare.ofOthers();
   }
 
@@ -262,13 +263,13 @@
       List<String> candidates = new ArrayList<>(peers.neighbours());
       candidates.removeIf(proxy -> isAvoided(new Route(proxy, "")));
       if (candidates.isEmpty() || !leaving.getAsBoolean()) {
-        candidates.add(place.name);
+        candidates.add(place.get().name);
       }
       String first = Rendezvous.order(member, candidates, Function.identity()).get(0);
       known = new Choice(first, loop.now() + CHOICE_MILLIS * NANOS_IN_MILLI);
       choices.put(member, known);
     }
-    return Optional.of(known.proxy).filter(proxy -> !proxy.equals(place.name));
+    return Optional.of(known.proxy).filter(proxy -> !proxy.equals(place.get().name));
   }
 
   /**
