Let the versions of members rise with their changes only

Each proxy that starts writes its registration, so lists that show the same members carried different revisions, and proxies that had just started asked each other for them at once, on cold code.

Change: the version of the members is the revision of their last change; a proxy that calls the store gives it 250 ms before it asks another one.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberChanges.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberChanges.java
@@ -6,7 +6,7 @@
 /**
  * Changes of the registered members since an earlier moment.
  *
- * @param version The revision of the store that shows the changes.
+ * @param version The revision of the store that shows the last of the changes.
  * @param changed The new and changed entries.
  * @param ended The identifiers of the members whose entries ended.
  */
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.IntSupplier;
@@ -59,7 +60,7 @@
   /** The identifiers of the members whose entries ended a moment ago. */
   private final Set<String> ending = new HashSet<>();
 
-  /** The highest revision of the store of which the members are known. */
+  /** The revision of the store that shows the last change of the members that is known. */
   private long memberVersion;
 
   /** The open sessions. */
@@ -156,7 +157,7 @@
   }
 
   /**
-   * Returns the highest revision of the store of which the members are known.
+   * Returns the revision of the store that shows the last change of the members that is known.
    *
    * @return The revision, zero if no member is known.
    */
@@ -172,6 +173,7 @@
   public MemberList members() {
     return new MemberList(
         memberVersion,
+        OptionalLong.of(memberVersion),
         members.values().stream().filter(entry -> !ending.contains(entry.id())).toList());
   }
 
@@ -344,22 +346,23 @@
    * @param update All members.
    */
   private void replaceMembers(MemberList update) {
-    if (update.version() < memberVersion) {
+    if (update.shown() < memberVersion) {
       return;
     }
     Set<String> present =
         update.entries().stream().map(MemberEntry::id).collect(Collectors.toSet());
     update.entries().forEach(this::putMember);
-    Set.copyOf(members.keySet()).stream()
-        .filter(id -> !present.contains(id))
-        .forEach(this::removeMemberLater);
-    noteMemberVersion(update.version());
+    Set<String> ended = new HashSet<>(members.keySet());
+    ended.removeAll(present);
+    ended.forEach(this::removeMemberLater);
+    long latest = ended.isEmpty() ? update.highestRevision() : update.shown();
+    noteMemberVersion(update.changed().orElse(latest));
   }
 
   /**
-   * Notes of which revision of the store the members are known.
+   * Notes the last change of the members that is known.
    *
-   * @param version The revision.
+   * @param version The revision of the store that shows it.
    */
   private void noteMemberVersion(long version) {
     if (version > memberVersion) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryExchange.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/DirectoryExchange.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberList;
 import org.hickoryshed.decision.membership.StoreAccess;
@@ -23,8 +23,8 @@
  */
 public final class DirectoryExchange {
 
-  /** The time in which a watcher may learn the news by itself, in milliseconds. */
-  private static final long WATCHER_PATIENCE_MILLIS = 250;
+  /** The time in which a proxy that calls the store may learn the news there, in milliseconds. */
+  private static final long PATIENCE_MILLIS = 250;
 
   /** The shortest time between two heartbeats ahead of their time to one proxy, in milliseconds. */
   private static final long GREETING_PAUSE_MILLIS = 500;
@@ -47,8 +47,8 @@
   /** The way to other proxies. */
   private final DirectoryLinks links;
 
-  /** Tells whether this proxy watches the store and is answered. */
-  private final BooleanSupplier watching;
+  /** What this proxy knows of the store at first hand. */
+  private final Supplier<StoreAccess> access;
 
   /** Renews the own watches of the store. */
   private final Runnable renewal;
@@ -75,7 +75,7 @@
    * @param peers The other proxies.
    * @param server The directory of this proxy.
    * @param links The way to other proxies.
-   * @param watching Tells whether this proxy watches the store and is answered.
+   * @param access What this proxy knows of the store at first hand.
    * @param renewal Renews the own watches of the store.
    * @param log The log.
    */
@@ -84,14 +84,14 @@
       PeerNetwork peers,
       SessionServer server,
       DirectoryLinks links,
-      BooleanSupplier watching,
+      Supplier<StoreAccess> access,
       Runnable renewal,
       EventLog log) {
     this.loop = loop;
     this.peers = peers;
     this.server = server;
     this.links = links;
-    this.watching = watching;
+    this.access = access;
     this.renewal = renewal;
     this.log = log;
   }
@@ -123,8 +123,7 @@
     return new DirectoryNews(
         Optional.of(server.desired())
             .filter(desired -> desired.version() > question.desiredVersion()),
-        Optional.of(server.members())
-            .filter(members -> members.version() > question.memberVersion()),
+        Optional.of(server.members()).filter(members -> members.shown() > question.memberVersion()),
         proxies);
   }
 
@@ -146,7 +145,7 @@
   }
 
   /**
-   * Considers the claim of a proxy to know more. A watcher gives its own watch a moment.
+   * Considers the claim of a proxy to know more. Who calls the store gives it a moment to answer.
    *
    * @param claim The claim.
    */
@@ -154,10 +153,10 @@
     if (!isNews(claim)) {
       return;
     }
-    if (watching.getAsBoolean()) {
-      loop.schedule(WATCHER_PATIENCE_MILLIS, () -> ask(claim));
-    } else {
+    if (access.get() == StoreAccess.RESTING) {
       ask(claim);
+    } else {
+      loop.schedule(PATIENCE_MILLIS, () -> ask(claim));
     }
   }
 
@@ -195,7 +194,7 @@
             news.flatMap(DirectoryNews::desired).map(DesiredState::version).orElse(0L))
         .with(
             "member-version",
-            news.flatMap(DirectoryNews::members).map(MemberList::version).orElse(0L))
+            news.flatMap(DirectoryNews::members).map(MemberList::shown).orElse(0L))
         .with("outcome", news.isPresent() ? "answered" : "no answer")
         .write();
     news.ifPresentOrElse(this::apply, this::renewWatches);
@@ -232,9 +231,9 @@
   /**
    * Checks if a claim tells of something that is not known here.
    *
-   * <p>The versions of the members that two watchers know may differ though the members are the
-   * same. Proxies of other failure domains are therefore not asked for members while the store or a
-   * neighbour tells of them.
+   * <p>The versions that two watchers know may differ after the end of an entry though the members
+   * are the same. Proxies of other failure domains are therefore not asked for members while the
+   * store or a neighbour tells of them.
    *
    * @param claim The claim.
    * @return {@code true} if the other proxy is to be asked.
@@ -252,7 +251,8 @@
    * @return {@code true} if changes of the members come from within this failure domain.
    */
   private boolean isSupplied() {
-    return watching.getAsBoolean() || peers.neighbourAccess().containsValue(StoreAccess.WATCHING);
+    return access.get() == StoreAccess.WATCHING
+        || peers.neighbourAccess().containsValue(StoreAccess.WATCHING);
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -22,7 +22,8 @@
    * @param domain The failure domain of the proxy.
    * @param leaving True if the proxy is about to end.
    * @param desiredVersion The version of the desired state in force there.
-   * @param memberVersion The highest revision of the store of which the members are known there.
+   * @param memberVersion The revision of the store that shows the last change of the members that
+   *     is known there.
    * @param access What the proxy knows of the store at first hand.
    */
   record Heartbeat(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/DirectoryCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/DirectoryCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberEntry;
@@ -128,7 +129,10 @@
    * @throws IOException If the buffer fails.
    */
   private static void writeMembers(MessagePacker packer, MemberList members) throws IOException {
-    packer.packLong(members.version()).packInt(members.entries().size());
+    packer
+        .packLong(members.shown())
+        .packLong(members.changed().orElse(0))
+        .packInt(members.entries().size());
     for (MemberEntry entry : members.entries()) {
       packer
           .packString(entry.id())
@@ -151,7 +155,8 @@
    * @throws IOException If the content ends early.
    */
   private static MemberList readMembers(MessageUnpacker unpacker) throws IOException {
-    long version = unpacker.unpackLong();
+    long shown = unpacker.unpackLong();
+    long changed = unpacker.unpackLong();
     List<MemberEntry> entries = new ArrayList<>();
     for (int left = unpacker.unpackInt(); left > 0; left--) {
       entries.add(
@@ -166,6 +171,9 @@
               unpacker.unpackLong(),
               unpacker.unpackLong()));
     }
-    return new MemberList(version, List.copyOf(entries));
+    return new MemberList(
+        shown,
+        changed == 0 ? OptionalLong.empty() : OptionalLong.of(changed),
+        List.copyOf(entries));
   }
 }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberEntry;
@@ -66,7 +67,7 @@
           new RelayMessage.Directory(
               new DirectoryNews(
                   Optional.of(DESIRED),
-                  Optional.of(new MemberList(23, List.of(MEMBER))),
+                  Optional.of(new MemberList(23, OptionalLong.of(19), List.of(MEMBER))),
                   Map.of("front-1", "10.1.0.8:7440"))));
 
   @Test
