--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SettingsFile.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SettingsFile.java
@@ -5,8 +5,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import org.hickoryshed.kernel.duty.PeriodicDuty;
 import org.hickoryshed.kernel.service.Service;
 import org.hickoryshed.kernel.settings.SettingsProblem;
 import org.hickoryshed.kernel.settings.SettingsReader;
@@ -32,14 +32,8 @@
   /** The log. */
   private final EventLog log;
 
-  /** The thread. */
-  private final Thread thread;
-
-  /** True while the thread is to continue. */
-  private volatile boolean active = true;
-
-  /** True once a look was asked for. */
-  private volatile boolean asked;
+  /** Looks at the file again and again. */
+  private final PeriodicDuty duty = new PeriodicDuty("settings", PAUSE, () -> read(false));
 
   /** The content that was read last. */
   private String content;
@@ -52,7 +46,7 @@
    *
    * @param file The file.
    * @param content The content that is in force.
-   * @param receiver Takes changed settings, on a thread of this follower.
+   * @param receiver Takes changed settings, on any thread.
    * @param log The log.
    */
   public SettingsFile(Path file, String content, Consumer<SessionSettings> receiver, EventLog log) {
@@ -60,36 +54,21 @@
     this.content = content;
     this.receiver = receiver;
     this.log = log;
-    thread = Thread.ofPlatform().name("settings").daemon(true).unstarted(this::run);
   }
 
   @Override
   public void start() {
-    thread.start();
+    duty.start();
   }
 
   @Override
   public void stop() {
-    active = false;
-    LockSupport.unpark(thread);
+    duty.stop();
   }
 
-  /** Asks for a look at the file now; may be called by any thread. */
+  /** Looks at the file now; may be called by any thread. */
   public void look() {
-    asked = true;
-    LockSupport.unpark(thread);
-  }
-
-  /** Looks at the file again and again until this follower is stopped. */
-  private void run() {
-    while (active) {
-      LockSupport.parkNanos(this, PAUSE.toNanos());
-      boolean signalled = asked;
-      asked = false;
-      if (active) {
-        read(signalled);
-      }
-    }
+    read(true);
   }
 
   /**
@@ -97,7 +76,7 @@
    *
    * @param signalled True if a signal asked for it, which is logged without a change too.
    */
-  private void read(boolean signalled) {
+  private synchronized void read(boolean signalled) {
     String read;
     try {
       read = Files.readString(file);
