Keep reading members and serving sessions when one entry or one handler is odd

Cause: the whole answer of the store was parsed strictly, so one entry with nesting beyond 1,000, a number of 1,000 digits, NaN, a long name or invalid UTF-8 made every list and watch fail, and the watch was never resumed. A timeout near the end of 64 bits fired at once. The event loop, workers and watches survived runtime exceptions but no Error, and a connection whose handler had thrown stayed open and silent. A periodic task that threw was repeated without its pause.

--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/http/Response.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/Response.java
@@ -1,5 +1,6 @@
 package org.hickoryshed.client.http;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.net.http.HttpHeaders;
 import org.hickoryshed.kernel.json.Json;
 import org.hickoryshed.kernel.result.Result;
@@ -21,7 +22,21 @@
    * @return The value, or {@link CallFailure.Malformed} if the body is not JSON of this type.
    */
   public <T> Result<T, CallFailure> as(Class<T> type) {
-    return switch (Json.read(body, type)) {
+    return withCallFailure(Json.read(body, type));
+  }
+
+  /**
+   * Reads the body as a JSON tree that several writers contributed to; see {@link
+   * Json#readTolerantly}.
+   *
+   * @return The tree, or {@link CallFailure.Malformed} if the body as a whole is not JSON.
+   */
+  public Result<JsonNode, CallFailure> asTolerantTree() {
+    return withCallFailure(Json.readTolerantly(body));
+  }
+
+  private static <T> Result<T, CallFailure> withCallFailure(Result<T, Json.Malformed> read) {
+    return switch (read) {
       case Result.Success<T, Json.Malformed>(T value) -> Result.success(value);
       case Result.Failed<T, Json.Malformed>(Json.Malformed malformed) ->
           Result.failure(new CallFailure.Malformed(malformed.detail()));
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/Json.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/Json.java
@@ -1,7 +1,9 @@
 package org.hickoryshed.kernel.json;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.MapperFeature;
@@ -10,6 +12,7 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import org.hickoryshed.kernel.result.Result;
 
 /**
@@ -22,6 +25,16 @@
 
   private static final ObjectMapper MAPPER = configure(JsonMapper.builder()).build();
 
+  /** Reads names of any length; their memory is limited by that of the whole content. */
+  private static final ObjectMapper TOLERANT_MAPPER =
+      configure(
+              JsonMapper.builder(
+                  JsonFactory.builder()
+                      .streamReadConstraints(
+                          StreamReadConstraints.builder().maxNameLength(Integer.MAX_VALUE).build())
+                      .build()))
+          .build();
+
   private Json() {}
 
   /**
@@ -85,6 +98,26 @@
     }
   }
 
+  /**
+   * Reads a JSON tree that several writers contributed to, so that an odd value of one of them does
+   * not make the whole tree unreadable.
+   *
+   * <p>Values that are nested too deeply and malformed or overlong numbers are read as {@code null}
+   * (see {@link JsonExcessFilter}), and invalid UTF-8 as replacement characters.
+   *
+   * @param content The JSON in UTF-8.
+   * @return The tree or the reason why the content is malformed as a whole.
+   */
+  public static Result<JsonNode, Malformed> readTolerantly(byte[] content) {
+    String text = new String(JsonExcessFilter.filter(content), StandardCharsets.UTF_8);
+    try {
+      JsonNode tree = TOLERANT_MAPPER.readTree(text);
+      return tree.isMissingNode() ? Result.failure(new Malformed("empty")) : Result.success(tree);
+    } catch (JsonProcessingException exception) {
+      return Result.failure(new Malformed(exception.getOriginalMessage()));
+    }
+  }
+
   /**
    * Converts a parsed JSON tree to a value.
    *
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/Addresses.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/Addresses.java
@@ -6,7 +6,11 @@
 /** Converts addresses of the form {@code IP:PORT} with an IPv4 address. */
 public final class Addresses {
 
-  private static final Pattern ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}");
+  /** A number from 0 to 255. */
+  private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[0-9]{1,2})";
+
+  private static final Pattern ADDRESS =
+      Pattern.compile(OCTET + "(\\." + OCTET + "){3}:[0-9]{1,5}");
 
   private static final int MAX_PORT = 65_535;
 
@@ -16,11 +20,15 @@
    * Checks whether a text has the form of an address.
    *
    * @param text The text.
-   * @return {@code true} if it is four numbers joined by dots, a colon and a port.
+   * @return {@code true} if it is four numbers up to 255 joined by dots, a colon and a port other
+   *     than zero.
    */
   public static boolean isAddress(String text) {
-    return ADDRESS.matcher(text).matches()
-        && Integer.parseInt(text.substring(text.indexOf(':') + 1)) <= MAX_PORT;
+    if (!ADDRESS.matcher(text).matches()) {
+      return false;
+    }
+    int port = Integer.parseInt(text.substring(text.indexOf(':') + 1));
+    return port > 0 && port <= MAX_PORT;
   }
 
   /**
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/worker/PeriodicTask.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/worker/PeriodicTask.java
@@ -49,12 +49,14 @@
     while (running) {
       try {
         action.run();
+      } catch (RuntimeException | Error thrown) {
+        Logger.error(thrown, "unexpected exception in periodic task {}", name);
+      }
+      try {
         Thread.sleep(pause);
       } catch (InterruptedException exception) {
         Thread.currentThread().interrupt();
         return;
-      } catch (RuntimeException exception) {
-        Logger.error(exception, "unexpected exception in periodic task {}", name);
       }
     }
   }
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/worker/QueueWorker.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/worker/QueueWorker.java
@@ -104,12 +104,12 @@
     idle = false;
   }
 
-  /** Logs an exception of the action instead of letting it end the thread. */
+  /** Logs what the action throws, errors included, instead of letting it end the thread. */
   private void runAndLogFailure(Runnable action) {
     try {
       action.run();
-    } catch (RuntimeException exception) {
-      Logger.error(exception, "unexpected exception in worker {}", name);
+    } catch (RuntimeException | Error thrown) {
+      Logger.error(thrown, "unexpected exception in worker {}", name);
     }
   }
 
--- /dev/null
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/json/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the JSON reader and its filter. */
+package org.hickoryshed.kernel.json;
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/eventlog/EventLog.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/eventlog/EventLog.java
@@ -119,8 +119,8 @@
         }
       } catch (IOException exception) {
         dropped.incrementAndGet();
-      } catch (RuntimeException exception) {
-        Logger.error(exception, "unexpected error while writing the event log");
+      } catch (RuntimeException | Error thrown) {
+        Logger.error(thrown, "unexpected error while writing the event log");
       }
       if (active) {
         LockSupport.parkNanos(this, POLL_INTERVAL_NANOS);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/Connection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/Connection.java
@@ -219,8 +219,8 @@
     }
   }
 
-  /** Closes this connection and tells its handler. */
-  private void fail(String reason) {
+  /** Closes this connection and tells its handler; has no effect on a closed connection. */
+  void fail(String reason) {
     if (!closed) {
       close();
       handler.onClosed(reason);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
@@ -10,6 +10,7 @@
 import java.nio.channels.Selector;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
@@ -38,6 +39,9 @@
   /** How long {@link #stop} waits for the thread to end. */
   private static final long STOP_TIMEOUT_MILLIS = 2000;
 
+  /** Timers with a longer delay never run; the limit keeps their due times from overflowing. */
+  private static final long MAX_DELAY_MILLIS = Duration.ofDays(365).toMillis();
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final Selector selector;
@@ -98,7 +102,8 @@
    * @return A timer that can be cancelled.
    */
   public Timer schedule(long delayMillis, Runnable action) {
-    Timer timer = new Timer(System.nanoTime() + delayMillis * NANOS_PER_MILLI, action);
+    long delayNanos = Math.min(delayMillis, MAX_DELAY_MILLIS) * NANOS_PER_MILLI;
+    Timer timer = new Timer(System.nanoTime() + delayNanos, action);
     timers.add(timer);
     return timer;
   }
@@ -139,7 +144,7 @@
       Connection connection = new Connection(this, channel, handler, limits);
       connection.register(selector, connected);
       return connection;
-    } catch (IOException exception) {
+    } catch (IOException | RuntimeException exception) {
       channel.close();
       throw exception;
     }
@@ -262,7 +267,7 @@
     guard(
         () -> {
           switch (key.attachment()) {
-            case Connection connection -> connection.onReady();
+            case Connection connection -> onConnectionReady(connection);
             case Listener listener -> listener.accept();
             case UdpSocket socket -> socket.onReady();
             default -> throw new IllegalStateException("unexpected attachment of a selection key");
@@ -270,6 +275,16 @@
         });
   }
 
+  /** Handles I/O events of a connection, and closes it if its handler throws. */
+  private void onConnectionReady(Connection connection) {
+    try {
+      connection.onReady();
+    } catch (RuntimeException | Error thrown) {
+      Logger.error(thrown, "closing a connection whose handler threw an exception");
+      connection.fail("unexpected exception: " + thrown);
+    }
+  }
+
   private void runTasks() {
     for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
       guard(task);
@@ -293,14 +308,14 @@
   }
 
   /**
-   * Runs a step and logs its unchecked exceptions, so that a bug in the handling of one event does
-   * not end the thread.
+   * Runs a step and logs what it throws, errors of the JVM included, so that the handling of one
+   * event can't end the thread and with it all sessions.
    */
   private static void guard(Runnable step) {
     try {
       step.run();
-    } catch (RuntimeException exception) {
-      Logger.error(exception, "uncaught exception in the event loop");
+    } catch (RuntimeException | Error thrown) {
+      Logger.error(thrown, "uncaught exception in the event loop");
     }
   }
 
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
@@ -1,17 +1,34 @@
 package org.hickoryshed.session.net;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatCode;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
-/** Tests that a stopped event loop frees the addresses that it was bound to. */
+/**
+ * Tests that a stopped event loop frees the addresses that it was bound to, and that it survives
+ * what its handlers throw.
+ */
 class EventLoopTest {
 
+  private static final int TIMEOUT_MILLIS = 5000;
+
   private final EventLoop loop = new EventLoop();
 
   @Test
@@ -27,10 +44,7 @@
 
   @Test
   void freesAddressOfListenerWhenItStops() throws IOException {
-    InetSocketAddress address;
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      address = new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
-    }
+    InetSocketAddress address = freeTcpAddress();
     loop.start();
     loop.listen(address, channel -> {});
 
@@ -50,10 +64,128 @@
     assertThatCode(() -> new DatagramSocket(address).close()).doesNotThrowAnyException();
   }
 
+  @ParameterizedTest
+  @MethodSource("throwables")
+  void closesOnlyTheConnectionWhoseHandlerThrows(Throwable thrown) throws Exception {
+    InetSocketAddress address = freeTcpAddress();
+    List<ThrowingHandler> handlers = new CopyOnWriteArrayList<>();
+    loop.listen(address, channel -> register(channel, thrown, handlers));
+    loop.start();
+    try (Socket healthy = new Socket(address.getAddress(), address.getPort());
+        Socket broken = new Socket(address.getAddress(), address.getPort())) {
+      healthy.setSoTimeout(TIMEOUT_MILLIS);
+      broken.setSoTimeout(TIMEOUT_MILLIS);
+
+      broken.getOutputStream().write('x');
+
+      assertThat(broken.getInputStream().read()).isEqualTo(-1);
+      healthy.getOutputStream().write('a');
+      assertThat(healthy.getInputStream().read()).isEqualTo('a');
+      assertThat(handlers).filteredOn(handler -> handler.closed).hasSize(1);
+    } finally {
+      loop.stop();
+    }
+  }
+
+  @ParameterizedTest
+  @MethodSource("throwables")
+  void survivesTaskThatThrows(Throwable thrown) throws Exception {
+    loop.start();
+    loop.submit(() -> throwUnchecked(thrown));
+    CountDownLatch ran = new CountDownLatch(1);
+    loop.submit(() -> loop.schedule(Long.MAX_VALUE / 2, () -> throwUnchecked(thrown)));
+    loop.submit(() -> loop.schedule(1, () -> throwUnchecked(thrown)));
+    loop.submit(() -> loop.schedule(2, ran::countDown));
+
+    assertThat(ran.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    loop.stop();
+  }
+
+  @Test
+  void doesNotRunTimerOfHugeDelayEarly() throws Exception {
+    loop.start();
+    AtomicBoolean ranEarly = new AtomicBoolean();
+    CountDownLatch ran = new CountDownLatch(1);
+    loop.submit(() -> loop.schedule(Long.MAX_VALUE, () -> ranEarly.set(true)));
+    loop.submit(() -> loop.schedule(20, ran::countDown));
+
+    assertThat(ran.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(ranEarly).isFalse();
+    loop.stop();
+  }
+
+  /** Returns what a handler may throw and the process survive. */
+  static List<Throwable> throwables() {
+    return List.of(
+        new IllegalStateException("of a test"),
+        new StackOverflowError("of a test"),
+        new OutOfMemoryError("of a test"),
+        new NoClassDefFoundError("of a test"),
+        new AssertionError("of a test"));
+  }
+
+  private void register(SocketChannel channel, Throwable thrown, List<ThrowingHandler> handlers) {
+    try {
+      ThrowingHandler handler = new ThrowingHandler(thrown);
+      handlers.add(handler);
+      handler.connection =
+          loop.registerAccepted(channel, handler, new Connection.Limits(1024, 1024));
+    } catch (IOException exception) {
+      throw new UncheckedIOException(exception);
+    }
+  }
+
+  private static void throwUnchecked(Throwable thrown) {
+    switch (thrown) {
+      case RuntimeException exception -> throw exception;
+      case Error error -> throw error;
+      default -> throw new IllegalArgumentException(thrown);
+    }
+  }
+
+  private static InetSocketAddress freeTcpAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+    }
+  }
+
   /** Finds an address that no UDP socket uses. */
   private static InetSocketAddress freeUdpAddress() throws IOException {
     try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"))) {
       return new InetSocketAddress(socket.getLocalAddress(), socket.getLocalPort());
     }
   }
+
+  /** Returns each byte that it receives, but throws on an {@code x}. */
+  private static final class ThrowingHandler implements Connection.Handler {
+
+    private final Throwable thrown;
+
+    private Connection connection;
+
+    private volatile boolean closed;
+
+    private ThrowingHandler(Throwable thrown) {
+      this.thrown = thrown;
+    }
+
+    @Override
+    public void onConnected() {
+      throw new IllegalStateException("called for an accepted connection");
+    }
+
+    @Override
+    public void onInput(ByteBuffer input) {
+      byte next = input.get();
+      if (next == 'x') {
+        throwUnchecked(thrown);
+      }
+      connection.output().append(String.valueOf((char) next));
+    }
+
+    @Override
+    public void onClosed(String reason) {
+      closed = true;
+    }
+  }
 }
