Stop the use of a replaced primary where the platform does not fence it

Cause: on sites without fencing a replaced primary goes on until it is told to step down, or a second after it reaches the new one. Ruled out: two holders (one order, generation 1), a late order. Change: a recorded promotion suspends the current primary at all proxies, a leaving primary is told to step down as soon as the order may take effect, a member that claims the lead against a later proven term is told so again, and a success that arrives from a suspended primary is reported as unknown. The message that a promotion is recorded names the member now, under a number of its own. A release costs the writes of that database the time of the promotion, which can't be had back without fencing. The announcement of a new primary is awaited for 2.4 s instead of 0.6 s, as a promotion may take 1 s.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
@@ -22,6 +22,8 @@
  * @param seeds Addresses where other proxies may listen, tried before the store lists them.
  * @param storeAddress The address of the platform's store.
  * @param promotionAddress The address of the platform's promotion service.
+ * @param fencing {@code true} if the platform keeps a replaced primary from committing writes;
+ *     otherwise the proxies see to it.
  * @param shutdownGrace The time between the request to stop and the end of the process.
  * @param keptConnections The number of connections to a member that stay open while idle.
  * @param sessionLimit The highest number of open sessions; further ones are refused.
@@ -36,6 +38,7 @@
     List<InetSocketAddress> seeds,
     InetSocketAddress storeAddress,
     InetSocketAddress promotionAddress,
+    boolean fencing,
     Duration shutdownGrace,
     int keptConnections,
     int sessionLimit) {
@@ -71,6 +74,7 @@
         peerSeeds(reader.addresses("seeds"), peerAddress),
         reader.address("platform.store"),
         reader.address("platform.promotion"),
+        reader.flag("platform.fencing", false),
         reader.duration("shutdown-grace", DEFAULT_SHUTDOWN_GRACE),
         reader.integer("kept-connections", DEFAULT_KEPT_CONNECTIONS, 1, MAX_COUNT),
         reader.integer("session-limit", DEFAULT_SESSION_LIMIT, 1, MAX_COUNT));
@@ -94,6 +98,7 @@
         newer.seeds,
         newer.storeAddress,
         newer.promotionAddress,
+        newer.fencing,
         newer.shutdownGrace,
         newer.keptConnections,
         newer.sessionLimit);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
@@ -120,6 +120,8 @@
       attempt++;
       if (bound.get().isClosed()) {
         onResponseLost("the connection of the transaction ended");
+      } else if (transaction.get().provesPrimary() && isSuspended(bound.get().pool())) {
+        fail(statement.failureWithoutResponse(false), "the primary is being replaced");
       } else {
         send(Optional.empty());
       }
@@ -309,7 +311,29 @@
     }
   }
 
+  /** Checks if a member is about to be replaced as the primary. */
+  private boolean isSuspended(MemberConnectionPool pool) {
+    return context
+        .database(statement.route())
+        .map(database -> database.isSuspended(pool))
+        .orElse(false);
+  }
+
+  /** Checks if a write that the member reported as committed may be lost with its lead. */
+  private boolean isDoubtful() {
+    return statement.makesWritesDurable()
+        && context
+            .database(statement.route())
+            .flatMap(database -> member.map(database::mayHaveBeenReplaced))
+            .orElse(false);
+  }
+
   private void onDone(MemberResponse.Done done) {
+    if (isDoubtful()) {
+      connection.ifPresent(MemberConnection::release);
+      fail(FailureKind.UNKNOWN_OUTCOME, "the primary was being replaced when it committed");
+      return;
+    }
     statement.recordSuccess(done, required.isEmpty(), member, context.database(statement.route()));
     finish();
     telemetry.onDone(done);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -48,6 +48,9 @@
   /** How long this process counts as cut off after the last check that found it so. */
   private static final long CUT_OFF_MILLIS = 1200;
 
+  /** The least time from the record of a promotion until it takes effect, in milliseconds. */
+  private static final long MIN_PROMOTION_MILLIS = 100;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final MemberContext context;
@@ -182,7 +185,7 @@
   public Optional<MemberConnectionPool> primary() {
     long now = context.loop().now();
     return claimants()
-        .filter(member -> member.notPrimaryUntil - now <= 0)
+        .filter(member -> member.notPrimaryUntil - now <= 0 && member.suspendedUntil - now <= 0)
         .map(member -> member.pool)
         .findFirst();
   }
@@ -221,6 +224,7 @@
       return false;
     }
     member.notPrimaryUntil = context.loop().now();
+    member.suspendedUntil = context.loop().now();
     floors.observeTerm(term);
     context
         .log()
@@ -233,6 +237,45 @@
     return true;
   }
 
+  /**
+   * Stops using the current primary for a while, because it is about to be replaced. It is used
+   * again at once if it proves a later term.
+   *
+   * @param successor The identifier of the member that is to become the primary; if it is the
+   *     current one, nothing is stopped.
+   * @param millis The time in milliseconds.
+   */
+  public void suspendPrimaryUnless(String successor, long millis) {
+    claimants()
+        .findFirst()
+        .filter(member -> !member.pool.entry().id().equals(successor))
+        .ifPresent(member -> member.suspend(context.loop().now(), millis));
+  }
+
+  /**
+   * Checks if a member is not used as the primary because it is about to be replaced.
+   *
+   * @param pool The connections to the member.
+   */
+  public boolean isSuspended(MemberConnectionPool pool) {
+    Member member = members.get(pool.entry().id());
+    return member != null && member.suspendedUntil - context.loop().now() > 0;
+  }
+
+  /**
+   * Checks if a member that was used as the primary may have been replaced already, so that what it
+   * commits now may be lost.
+   *
+   * @param pool The connections to the member.
+   */
+  public boolean mayHaveBeenReplaced(MemberConnectionPool pool) {
+    Member member = members.get(pool.entry().id());
+    long now = context.loop().now();
+    return member != null
+        && member.suspendedUntil - now > 0
+        && now - member.suspendedSince > MIN_PROMOTION_MILLIS * NANOS_PER_MILLI;
+  }
+
   /** Returns the members that claim to be the primary, or proved it, the latest one first. */
   private Stream<Member> claimants() {
     return claims.byRecency().stream().map(members::get).filter(Objects::nonNull);
@@ -395,9 +438,24 @@
     /** Until when the member is not used as the primary, in nanoseconds of the monotonic clock. */
     private long notPrimaryUntil;
 
+    /** When the member was last suspended, in nanoseconds of the monotonic clock. */
+    private long suspendedSince;
+
+    /** Until when the member is suspended, in nanoseconds of the monotonic clock. */
+    private long suspendedUntil;
+
     private Member(MemberConnectionPool pool, long now) {
       this.pool = pool;
       notPrimaryUntil = now;
+      suspendedUntil = now;
+    }
+
+    /** Suspends the member as the primary, or extends the time for which it is. */
+    private void suspend(long now, long millis) {
+      if (suspendedUntil - now <= 0) {
+        suspendedSince = now;
+      }
+      suspendedUntil = now + millis * NANOS_PER_MILLI;
     }
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
@@ -217,6 +217,12 @@
     expectResponse(receiver, false);
   }
 
+  @Override
+  public void requestStepDown(long term, Consumer<MemberResponse> receiver) {
+    wireFormat.writeStepDownRequest(connection.output(), term);
+    expectResponse(receiver, false);
+  }
+
   @Override
   public void rollback() {
     send(Optional.empty(), new Statement.Rollback(), ignored -> {}, true);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -68,6 +68,12 @@
   /** Requests the member's status; the first row of the response is the report. */
   void requestStatus(Consumer<MemberResponse> receiver);
 
+  /**
+   * Requests that the member steps down if it is the primary of a lower term than the given one;
+   * the first row of the response is its status.
+   */
+  void requestStepDown(long term, Consumer<MemberResponse> receiver);
+
   /** Rolls back the open transaction, without waiting for the response. */
   void rollback();
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -1,6 +1,7 @@
 package org.hickoryshed.session.member;
 
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.session.wire.MemberStatusReport;
@@ -69,11 +70,32 @@
    *     failure or sent a malformed report.
    */
   public void requestStatus(long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
+    requestReport(MemberConnection::requestStatus, timeoutMillis, result);
+  }
+
+  /**
+   * Requests that the member steps down if it is the primary of a lower term than the given one.
+   *
+   * @param result Receives the member's report, empty as for {@link #requestStatus}; the member has
+   *     stepped down if the report says that it is not the primary.
+   */
+  public void requestStepDown(
+      long term, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
+    requestReport(
+        (connection, receiver) -> connection.requestStepDown(term, receiver),
+        timeoutMillis,
+        result);
+  }
+
+  private void requestReport(
+      BiConsumer<MemberConnection, Consumer<MemberResponse>> request,
+      long timeoutMillis,
+      Consumer<Optional<MemberStatusReport>> result) {
     new InternalRequest(
             context.loop(),
             pool,
             pool::borrow,
-            MemberConnection::requestStatus,
+            request,
             response ->
                 result.accept(
                     response
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerMessage.java
@@ -61,8 +61,9 @@
    * Tells that the sender has recorded a promotion, so that others leave the failover to it.
    *
    * @param pool The name of the pool.
+   * @param member The identifier of the member to promote.
    */
-  record PromotionRecorded(String pool) implements PeerMessage {}
+  record PromotionRecorded(String pool, String member) implements PeerMessage {}
 
   /**
    * Tells that a member has proven to be the primary.
@@ -127,7 +128,8 @@
                 .packLong(request.voteId);
         case PrimaryProbeResponse response ->
             packer.packInt(2).packLong(response.voteId).packBoolean(response.reachable);
-        case PromotionRecorded promotion -> packer.packInt(3).packString(promotion.pool);
+        case PromotionRecorded promotion ->
+            packer.packInt(8).packString(promotion.pool).packString(promotion.member);
         case PrimaryProven primary ->
             packer
                 .packInt(6)
@@ -179,7 +181,6 @@
                 new PrimaryProbeRequest(
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
             case 2 -> new PrimaryProbeResponse(unpacker.unpackLong(), unpacker.unpackBoolean());
-            case 3 -> new PromotionRecorded(unpacker.unpackString());
             case 4 -> new FloorRequest(unpacker.unpackString(), unpacker.unpackLong());
             case 5 ->
                 new FloorResponse(
@@ -190,6 +191,7 @@
                 new PrimaryProven(
                     unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong());
             case 7 -> new Contention(unpacker.unpackString(), unpacker.unpackString());
+            case 8 -> new PromotionRecorded(unpacker.unpackString(), unpacker.unpackString());
             default -> null;
           };
       return Optional.ofNullable(message).map(known -> new Received(from, known));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryAnnouncer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryAnnouncer.java
@@ -24,7 +24,7 @@
   private static final long POLL_INTERVAL_MILLIS = 60;
 
   /** The number of polls after which the announcement of a new primary is given up. */
-  private static final int MAX_POLLS = 10;
+  private static final int MAX_POLLS = 40;
 
   private final MemberContext context;
 
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
@@ -0,0 +1,121 @@
+package org.hickoryshed.session.promotion;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.hickoryshed.session.member.Database;
+import org.hickoryshed.session.member.MemberConnectionPool;
+import org.hickoryshed.session.member.MemberContext;
+import org.hickoryshed.session.wire.MemberStatusReport;
+
+/**
+ * Keeps a replaced primary from running statements where the platform does not fence it.
+ *
+ * <p>There, a primary that was replaced goes on as one until it is told to step down or learns of
+ * the new term. A write that it still commits is lost. Three measures prevent that:
+ *
+ * <ul>
+ *   <li>As soon as a promotion is recorded, all proxies stop using the current primary.
+ *   <li>As soon as the promotion may take effect, a leaving primary is told to step down. This also
+ *       stops proxies that the announcement does not reach.
+ *   <li>A member that claims to be the primary although another one proved a later term is told to
+ *       step down when it is reachable again.
+ * </ul>
+ *
+ * <p>All methods run on the event loop and have no effect if the platform fences replaced
+ * primaries.
+ */
+final class PrimaryFencing {
+
+  /**
+   * The time for which the current primary is not used after a promotion was recorded, in
+   * milliseconds. It covers the promotion; after a failed one, the primary is used again.
+   */
+  private static final long SUSPENSION_MILLIS = 2000;
+
+  /** The time for a member to respond to the request to step down, in milliseconds. */
+  private static final long STEP_DOWN_TIMEOUT_MILLIS = 300;
+
+  private final MemberContext context;
+
+  private final Function<String, Optional<Database>> databases;
+
+  private final BooleanSupplier fencedByPlatform;
+
+  /**
+   * Creates the fencing of all databases.
+   *
+   * @param context The dependencies that the connection pools of all members share.
+   * @param databases Finds a database by the name of its pool.
+   * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
+   */
+  PrimaryFencing(
+      MemberContext context,
+      Function<String, Optional<Database>> databases,
+      BooleanSupplier fencedByPlatform) {
+    this.context = context;
+    this.databases = databases;
+    this.fencedByPlatform = fencedByPlatform;
+  }
+
+  /**
+   * Stops the use of the current primary, because a promotion of another member was recorded.
+   *
+   * @param pool The name of the pool.
+   * @param member The identifier of the member that is to be promoted.
+   */
+  void onPromotionRecorded(String pool, String member) {
+    if (!fencedByPlatform.getAsBoolean()) {
+      databases
+          .apply(pool)
+          .ifPresent(database -> database.suspendPrimaryUnless(member, SUSPENSION_MILLIS));
+    }
+  }
+
+  /** Tells a leaving primary to step down, because a promotion may take effect from now on. */
+  void depose(Incumbent incumbent) {
+    if (!fencedByPlatform.getAsBoolean()) {
+      requestStepDown(incumbent.pool, incumbent.term + 1);
+    }
+  }
+
+  /**
+   * Tells each reachable member to step down that claims to be the primary although another member
+   * proved a later term. Called periodically.
+   */
+  void deposeReplacedPrimaries(Database database) {
+    if (fencedByPlatform.getAsBoolean() || database.provenTerm().isEmpty()) {
+      return;
+    }
+    Optional<MemberConnectionPool> primary = database.claimedPrimary();
+    database.connectionPools().stream()
+        .filter(pool -> pool.entry().primary() && pool.isReachable())
+        .filter(pool -> primary.filter(pool::equals).isEmpty())
+        .forEach(pool -> requestStepDown(pool, database.provenTerm().getAsLong()));
+  }
+
+  private void requestStepDown(MemberConnectionPool pool, long term) {
+    pool.requests()
+        .requestStepDown(term, STEP_DOWN_TIMEOUT_MILLIS, report -> logStepDown(pool, term, report));
+  }
+
+  private void logStepDown(
+      MemberConnectionPool pool, long term, Optional<MemberStatusReport> report) {
+    context
+        .log()
+        .event("step-down-requested")
+        .with("member", pool.entry().id())
+        .with("pool", pool.entry().pool())
+        .with("term", term)
+        .with("report", report)
+        .write();
+  }
+
+  /**
+   * A primary that is to be replaced while it is reachable.
+   *
+   * @param pool The connections to the member.
+   * @param term The term in which it is the primary.
+   */
+  record Incumbent(MemberConnectionPool pool, long term) {}
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -79,6 +80,8 @@
 
   private final PrimaryAnnouncer announcer;
 
+  private final PrimaryFencing fencing;
+
   /** The failover state of each pool by its name. */
   private final Map<String, PoolFailoverState> failovers = new HashMap<>();
 
@@ -91,17 +94,20 @@
    * @param peers The network of the other proxies.
    * @param promotions Requests promotions.
    * @param databases Finds a database by the name of its pool.
+   * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
    */
   public PrimaryMonitor(
       MemberContext context,
       PeerNetwork peers,
       PromotionCoordinator promotions,
-      Function<String, Optional<Database>> databases) {
+      Function<String, Optional<Database>> databases,
+      BooleanSupplier fencedByPlatform) {
     this.context = context;
     this.peers = peers;
     this.promotions = promotions;
     this.databases = databases;
     announcer = new PrimaryAnnouncer(context, peers, databases);
+    fencing = new PrimaryFencing(context, databases, fencedByPlatform);
   }
 
   /**
@@ -179,8 +185,10 @@
               .forEach(
                   failover ->
                       onVoteReceived(failover, response.voteId(), from, response.reachable()));
-      case PeerMessage.PromotionRecorded promotion ->
-          yieldTo(from, failovers.computeIfAbsent(promotion.pool(), this::newFailover));
+      case PeerMessage.PromotionRecorded promotion -> {
+        yieldTo(from, failovers.computeIfAbsent(promotion.pool(), this::newFailover));
+        fencing.onPromotionRecorded(promotion.pool(), promotion.member());
+      }
       default -> {
         // Other messages do not concern primaries.
       }
@@ -211,6 +219,7 @@
     if (database.isEmpty() || database.get().connectionPools().isEmpty()) {
       return;
     }
+    fencing.deposeReplacedPrimaries(database.get());
     Optional<MemberConnectionPool> primary = database.get().claimedPrimary();
     PoolFailoverState failover = failovers.computeIfAbsent(pool, this::newFailover);
     if (primary.isEmpty()) {
@@ -356,6 +365,7 @@
     Optional<MemberConnectionPool> primary =
         databases.apply(failover.pool).flatMap(Database::claimedPrimary);
     List<PromotionCandidate> candidates = new ArrayList<>();
+    Optional<PrimaryFencing.Incumbent> incumbent = Optional.empty();
     for (Map.Entry<MemberConnectionPool, Optional<MemberStatusReport>> entry : reports.entrySet()) {
       MemberConnectionPool pool = entry.getKey();
       Optional<MemberStatusReport> report = entry.getValue();
@@ -365,7 +375,9 @@
         keepPrimary(failover, "a reachable member is the primary: " + pool.entry().id());
         return;
       }
-      if (!isPrimary && primary.filter(pool::equals).isEmpty()) {
+      if (isPrimary) {
+        incumbent = Optional.of(new PrimaryFencing.Incumbent(pool, report.get().term()));
+      } else if (primary.filter(pool::equals).isEmpty()) {
         candidates.add(
             new PromotionCandidate(
                 pool.entry().id(),
@@ -377,7 +389,7 @@
     if (candidates.isEmpty()) {
       keepPrimary(failover, "no other member to promote is reachable");
     } else {
-      promoteBest(failover, candidates);
+      promoteBest(failover, candidates, incumbent);
     }
   }
 
@@ -386,8 +398,12 @@
    *
    * @param failover The failover.
    * @param candidates The members that may be promoted, at least one.
+   * @param incumbent The leaving primary, empty if no reachable member is the primary.
    */
-  private void promoteBest(PoolFailoverState failover, List<PromotionCandidate> candidates) {
+  private void promoteBest(
+      PoolFailoverState failover,
+      List<PromotionCandidate> candidates,
+      Optional<PrimaryFencing.Incumbent> incumbent) {
     PromotionCandidate chosen = PromotionCandidate.choose(candidates).orElseThrow();
     failover.stage = PoolFailoverState.Stage.PROMOTING;
     log()
@@ -403,17 +419,20 @@
             failover.pool,
             chosen.member(),
             failover.reason,
-            () ->
-                loop()
-                    .submit(
-                        () ->
-                            announcer.broadcast(new PeerMessage.PromotionRecorded(failover.pool))),
+            () -> loop().submit(() -> onPromotionRecorded(failover.pool, chosen.member())),
+            () -> loop().submit(() -> incumbent.ifPresent(fencing::depose)),
             result -> loop().submit(() -> onPromotionResult(failover, chosen.member(), result)));
     if (!queued) {
       keepPrimary(failover, "the queue of promotion requests is full");
     }
   }
 
+  /** Tells the other proxies that this one recorded a promotion and is about to request it. */
+  private void onPromotionRecorded(String pool, String member) {
+    announcer.broadcast(new PeerMessage.PromotionRecorded(pool, member));
+    fencing.onPromotionRecorded(pool, member);
+  }
+
   private void onPromotionResult(
       PoolFailoverState failover, String member, PromotionCoordinator.PromotionResult result) {
     context.metrics().counter("takeovers", "result", result.name()).inc();
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
@@ -107,23 +107,28 @@
    * @param reason Why the primary is replaced, for the log.
    * @param recorded Called on the worker thread each time an intent is recorded, before the
    *     promotion service is called.
+   * @param mayTakeEffect Called on the worker thread each time the promotion service has accepted a
+   *     request or may have done so; the member becomes the primary some time after that.
    * @param result Receives the result on the worker thread.
-   * @return {@code false} if the queue is full; neither callback is called then.
+   * @return {@code false} if the queue is full; no callback is called then.
    */
   public boolean requestPromotion(
       String pool,
       String member,
       String reason,
       Runnable recorded,
+      Runnable mayTakeEffect,
       Consumer<PromotionResult> result) {
-    return worker.offer(() -> result.accept(promoteNow(pool, member, reason, recorded)));
+    return worker.offer(
+        () -> result.accept(promoteNow(pool, member, reason, recorded, mayTakeEffect)));
   }
 
   /**
    * Records and requests a promotion on the calling thread, and repeats both while no response
    * arrives.
    */
-  PromotionResult promoteNow(String pool, String member, String reason, Runnable recorded) {
+  PromotionResult promoteNow(
+      String pool, String member, String reason, Runnable recorded, Runnable mayTakeEffect) {
     PromotionResult result = PromotionResult.NOT_HOLDER;
     for (Duration timeout : RESPONSE_TIMEOUTS) {
       Optional<PromotionRecord> intent = recordIntent(pool, member);
@@ -132,7 +137,11 @@
       }
       recorded.run();
       result = sendRequest(pool, intent.get(), reason, timeout);
-      if (result != PromotionResult.UNKNOWN) {
+      if (result == PromotionResult.REFUSED) {
+        return result;
+      }
+      mayTakeEffect.run();
+      if (result == PromotionResult.ACCEPTED) {
         return result;
       }
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -127,6 +127,8 @@
         packer.packString(execute.arguments());
       }
       case RelayMessage.AskStatus ask -> packer.packInt(6).packLong(ask.loan());
+      case RelayMessage.AskStepDown ask ->
+          packer.packInt(20).packLong(ask.loan()).packLong(ask.term());
       case RelayMessage.Rollback rollback -> packer.packInt(7).packLong(rollback.loan());
       case RelayMessage.Release release ->
           packer.packInt(8).packLong(release.loan()).packBoolean(release.timedOut());
@@ -215,6 +217,7 @@
           new RelayMessage.AskDirectory(
               new DirectoryRequest(unpacker.unpackLong(), unpacker.unpackLong()));
       case 19 -> new RelayMessage.Directory(DirectoryCodec.read(unpacker));
+      case 20 -> new RelayMessage.AskStepDown(unpacker.unpackLong(), unpacker.unpackLong());
       default -> throw new IllegalArgumentException("unknown message kind " + kind);
     };
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLenderLink.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLenderLink.java
@@ -250,6 +250,8 @@
               this::relayResponse);
         }
         case RelayMessage.AskStatus ignored -> connection.requestStatus(this::relayResponse);
+        case RelayMessage.AskStepDown ask ->
+            connection.requestStepDown(ask.term(), this::relayResponse);
         case RelayMessage.Rollback ignored -> connection.rollback();
         default -> throw new IllegalStateException("not a message for the member");
       }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
@@ -118,6 +118,14 @@
    */
   record AskStatus(long loan) implements ToLender, LoanMessage {}
 
+  /**
+   * Requests that the member steps down if it is the primary of a lower term.
+   *
+   * @param loan The number of the loan.
+   * @param term The term.
+   */
+  record AskStepDown(long loan, long term) implements ToLender, LoanMessage {}
+
   /**
    * Rolls the transaction back; there is no response.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayedConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayedConnection.java
@@ -108,6 +108,11 @@
     request(new RelayMessage.AskStatus(loan), receiver);
   }
 
+  @Override
+  public void requestStepDown(long term, Consumer<MemberResponse> receiver) {
+    request(new RelayMessage.AskStepDown(loan, term), receiver);
+  }
+
   @Override
   public void rollback() {
     link.send(new RelayMessage.Rollback(loan));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
@@ -129,6 +129,12 @@
    */
   void writeStatusRequest(OutputBuffer output);
 
+  /**
+   * Writes the request that a member steps down if it is the primary of a lower term than the given
+   * one; the member responds with its status.
+   */
+  void writeStepDownRequest(OutputBuffer output, long term);
+
   /**
    * Parses the row that a member returns for a status request.
    *
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -17,7 +17,7 @@
           new PeerMessage.Contention("orders", "m1"),
           new PeerMessage.PrimaryProbeRequest("orders", "m1", 3),
           new PeerMessage.PrimaryProbeResponse(3, true),
-          new PeerMessage.PromotionRecorded("orders"),
+          new PeerMessage.PromotionRecorded("orders", "m2"),
           new PeerMessage.PrimaryProven("orders", "m2", 4),
           new PeerMessage.FloorRequest("orders", 4),
           new PeerMessage.FloorResponse(4, new LogPosition(2, 1207), 35));
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
@@ -30,7 +30,8 @@
 
   @Test
   void recordsIntentBeforeRequestingPromotion() {
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(records.records.get(POOL)).isEqualTo(promotions.requests.get(0));
   }
 
@@ -38,15 +39,15 @@
   void requestsNoPromotionWithoutRecord() {
     records.responseIsLost = true;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(promotions.requests).isEmpty();
   }
 
   @Test
   void usesNewGenerationForEachPromotion() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -54,8 +55,9 @@
   @Test
   void usesNewGenerationAfterRequestWithoutResponse() {
     promotions.outcome = new PromotionService.Outcome.Unknown("lost");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.UNKNOWN);
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.UNKNOWN);
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
   }
@@ -64,7 +66,8 @@
   void repeatsRequestAtOnceWithoutResponse() {
     promotions.lostResponses = 2;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L, 3L);
     assertThat(records.records.get(POOL).generation()).isEqualTo(3);
   }
@@ -78,15 +81,17 @@
           records.revisions.merge(POOL, 1L, Long::sum);
         };
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.UNKNOWN);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.UNKNOWN);
     assertThat(generations()).containsExactly(1L);
   }
 
   @Test
   void usesNewGenerationAfterRefusal() {
     promotions.outcome = new PromotionService.Outcome.Refused("test");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.REFUSED);
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.REFUSED);
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -94,39 +99,41 @@
   @Test
   void usesNewGenerationWhenWriteSucceededWithoutResponse() {
     records.responseIsLost = true;
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
     records.responseIsLost = false;
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
 
     assertThat(generations()).containsExactly(2L);
   }
 
   @Test
   void requestsNoPromotionSoonAfterAnotherProxy() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(generations()).containsExactly(1L);
   }
 
   @Test
   void requestsPromotionOnceExclusivePeriodOfAnotherProxyEnded() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}))
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     millis += 4_001;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L);
   }
 
   @Test
   void usesNoGenerationTwiceWhenTwoProxiesRace() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
     millis += 60_000;
-    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> {}, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).doesNotHaveDuplicates();
   }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -47,6 +47,7 @@
           new RelayMessage.Forward(5, "5c0e", POSITION, "READ 1a4"),
           new RelayMessage.Execute(6, "5c0e", Optional.empty(), SHAPE, "1a4 xk\u00e9"),
           new RelayMessage.AskStatus(7),
+          new RelayMessage.AskStepDown(7, 12),
           new RelayMessage.Rollback(8),
           new RelayMessage.Release(9, true),
           new RelayMessage.Abort(10, "broken"),
