Answer every statement that a stopping proxy has read

Change: SessionDrain refuses statements (not run, try another proxy) once one could outlast the grace, but not before half of it, rolls idle transactions back then, ends what still runs shortly before the end with a truthful failure, and waits until the responses are sent. GracefulShutdown only exits.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/GracefulShutdown.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/GracefulShutdown.java
@@ -7,26 +7,11 @@
 import org.hickoryshed.session.eventlog.EventLog;
 
 /**
- * Shuts the process down gracefully.
- *
- * <p>The process is reported as not ready at once, so that new sessions go elsewhere. After a while
- * its idle sessions are closed in several steps and the others as they become idle. The process
- * exits once all sessions are closed and other proxies have returned the connections that they
- * borrowed, or when the grace period is nearly over.
+ * Shuts the process down gracefully: it is reported as not ready at once, so that new sessions go
+ * elsewhere, then its sessions are drained, and the process exits.
  */
 public final class GracefulShutdown {
 
-  /** How long new sessions may still arrive once the process is not ready, in milliseconds. */
-  private static final long READINESS_DELAY_MILLIS = 2200;
-
-  /** The number of steps in which idle sessions are closed, about the same number in each. */
-  private static final int STEPS = 8;
-
-  private static final long STEP_MILLIS = 150;
-
-  /** How long before the end of the grace period it stops waiting, in milliseconds. */
-  private static final long RESERVE_MILLIS = 500;
-
   private final SessionServer server;
 
   private final IntSupplier lentConnections;
@@ -71,18 +56,8 @@
   }
 
   private void run() {
-    long end = System.nanoTime() + gracePeriod.get().toNanos() - RESERVE_MILLIS * 1_000_000;
     try {
-      Thread.sleep(Math.min(READINESS_DELAY_MILLIS, gracePeriod.get().toMillis() / 2));
-      for (int step = STEPS; step > 0; step--) {
-        server.closeIdleSessions(step);
-        Thread.sleep(STEP_MILLIS);
-      }
-      while (server.sessionCount() + lentConnections.getAsInt() > 0
-          && System.nanoTime() - end < 0) {
-        server.closeIdleSessions(1);
-        Thread.sleep(STEP_MILLIS);
-      }
+      new SessionDrain(server, lentConnections, gracePeriod.get()).run();
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -84,6 +85,9 @@
 
   private volatile boolean draining;
 
+  /** True if no further statement is executed, since the process is about to end. */
+  private boolean refusing;
+
   /** The connections to all members by state, updated once a second for other threads. */
   private volatile ConnectionCounts connectionCounts = ConnectionCounts.NONE;
 
@@ -240,6 +244,39 @@
                     .forEach(CallerSession::closeWhenIdle));
   }
 
+  /**
+   * Refuses the further statements of all sessions, those that arrive later included, and closes
+   * each session as soon as it is idle; may be called by any thread.
+   */
+  public void refuseStatements() {
+    loop()
+        .submit(
+            () -> {
+              refusing = true;
+              List.copyOf(sessions).forEach(CallerSession::refuseStatements);
+            });
+  }
+
+  /**
+   * Ends all sessions now, with a response to each running statement; may be called by any thread.
+   */
+  public void finishSessions() {
+    loop().submit(() -> List.copyOf(sessions).forEach(CallerSession::finishForStop));
+  }
+
+  /**
+   * Returns the longest time that a statement may take; may be called by any thread.
+   *
+   * @return The longest statement timeout of all routes, zero without a route.
+   */
+  public Duration longestStatementTimeout() {
+    return Duration.ofMillis(
+        desired.routes().values().stream()
+            .mapToLong(DatabaseRoute::statementTimeoutMillis)
+            .max()
+            .orElse(0));
+  }
+
   @Override
   public EventLoop loop() {
     return context.loop();
@@ -312,6 +349,9 @@
       session.attach(loop().registerAccepted(channel, session, limits));
       sessions.add(session);
       sessionCount = sessions.size();
+      if (refusing) {
+        session.refuseStatements();
+      }
     } catch (IOException exception) {
       Logger.warn("accepting a session failed: {}", exception.getMessage());
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
@@ -33,6 +33,9 @@
   /** The interval at which opening a database checks for the first desired state. */
   private static final long DESIRED_STATE_POLL_MILLIS = 20;
 
+  /** The failure text of a statement that this process does not execute any more. */
+  private static final String PROCESS_STOPS = "not run; this proxy stops; try another one now";
+
   private final SessionContext context;
 
   /** The values and prepared statements, under the names that the caller chose. */
@@ -61,6 +64,12 @@
   /** True while {@link #onInput} loops over received messages, so that input needs no resuming. */
   private boolean handlingInput;
 
+  /** True if no further statement is executed, since the session or the process ends. */
+  private boolean refusing;
+
+  /** True once the input that was received before the close is being refused. */
+  private boolean refusingInput;
+
   /** True if the session is to be closed as soon as it is idle. */
   private boolean closeRequested;
 
@@ -104,6 +113,32 @@
     closeIfIdle();
   }
 
+  /**
+   * Refuses all further statements, since this process is about to stop, and closes this session as
+   * soon as it is idle. The running statement is finished; an open transaction is rolled back after
+   * it, which the response to the next statement reports.
+   */
+  public void refuseStatements() {
+    refusing = true;
+    if (execution.isEmpty()) {
+      rollBackForStop();
+    }
+    closeWhenIdle();
+  }
+
+  /**
+   * Ends this session now, since this process stops: the running statement gets a response that
+   * says truly whether it may have run.
+   */
+  public void finishForStop() {
+    refuseStatements();
+    execution.ifPresent(StatementExecution::finishForStop);
+    if (opening) {
+      context.wireFormat().writeFailure(connection.output(), FailureKind.OVERLOADED, PROCESS_STOPS);
+    }
+    connection.closeAfterFlush();
+  }
+
   /**
    * Closes this session now: the running statement is abandoned and an open transaction rolled
    * back. Has no effect on a closed session.
@@ -126,7 +161,7 @@
   public void onInput(ByteBuffer input) {
     handlingInput = true;
     try {
-      while (execution.isEmpty() && !opening && !connection.isClosing()) {
+      while (execution.isEmpty() && !opening && (!connection.isClosing() || refusingInput)) {
         Optional<CallerMessage> next = context.wireFormat().decodeCallerMessage(input);
         if (next.isEmpty()) {
           return;
@@ -228,7 +263,9 @@
   private void completeStatement(TransactionState after) {
     execution = Optional.empty();
     context.wireFormat().writeReady(connection.output(), after);
-    if (after == TransactionState.OPEN) {
+    if (after == TransactionState.OPEN && refusing) {
+      rollBackForStop();
+    } else if (after == TransactionState.OPEN) {
       startIdleTimer();
     }
     if (!closeIfIdle() && !handlingInput) {
@@ -237,16 +274,35 @@
   }
 
   /**
-   * Closes this session if that was requested and nothing is open.
+   * Closes this session if that was requested and nothing is open. Statements that were received
+   * already are refused, so that none is left without a response. A session that has not opened a
+   * database yet stays, because the request for it may be on its way.
    *
    * @return {@code true} if it is closed once its output is sent.
    */
   private boolean closeIfIdle() {
-    if (closeRequested && execution.isEmpty() && transaction.isEmpty() && !opening) {
-      connection.closeAfterFlush();
-      return true;
+    boolean idle = database.isPresent() && execution.isEmpty() && transaction.isEmpty();
+    if (!closeRequested || !idle) {
+      return false;
+    }
+    connection.closeAfterFlush();
+    if (!refusingInput) {
+      refusing = true;
+      refusingInput = true;
+      if (!handlingInput) {
+        connection.resumeInput();
+      }
+    }
+    return true;
+  }
+
+  /** Rolls an open transaction back; the response to the caller's next statement reports it. */
+  private void rollBackForStop() {
+    if (transaction.isPresent() && transactionFailure.isEmpty()) {
+      failTransaction(FailureKind.ROLLED_BACK);
+      failureReported = false;
+      context.metrics().counter("transactions_ended", "reason", "stop").inc();
     }
-    return false;
   }
 
   private void onMessage(CallerMessage message) {
@@ -270,6 +326,11 @@
   }
 
   private void open(String name) {
+    if (refusing) {
+      context.wireFormat().writeFailure(connection.output(), FailureKind.OVERLOADED, PROCESS_STOPS);
+      connection.closeAfterFlush();
+      return;
+    }
     opening = true;
     openOnceDesiredStateKnown(
         name, context.loop().now() + DESIRED_STATE_TIMEOUT_MILLIS * 1_000_000);
@@ -325,6 +386,10 @@
       onRequestAfterFailure(request.statement());
       return;
     }
+    if (refusing) {
+      respondWithFailure(FailureKind.OVERLOADED, PROCESS_STOPS);
+      return;
+    }
     switch (request.statement()) {
       case Statement.Begin begin -> begin(begin.readOnly());
       case Statement.Rollback ignored when transaction.isPresent() -> {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
@@ -484,8 +484,22 @@
     connection = Optional.empty();
   }
 
+  /** Fails the statement, since this process stops. */
+  void finishForStop() {
+    failUnfinished("this proxy stopped before the response");
+  }
+
   /** Fails the statement when its timeout has passed. */
   private void onDeadline() {
+    failUnfinished("out of time");
+  }
+
+  /**
+   * Fails the statement unless it is finished.
+   *
+   * @param textAfterSending The failure text if a response is awaited.
+   */
+  private void failUnfinished(String textAfterSending) {
     if (finished) {
       return;
     }
@@ -493,7 +507,7 @@
     cancelAttempt();
     fail(
         statement.failureWithoutResponse(wasAwaitingResponse),
-        wasAwaitingResponse ? "out of time" : RETRY_LATER);
+        wasAwaitingResponse ? textAfterSending : RETRY_LATER);
   }
 
   private void respondWithFailure(FailureKind kind, String text) {
