Order no promotion late or on the word of a stepped clock

Cause, by reading and shown by tests over fakes: a holder that paused between its record and its order (freeze, slow store) sent the order whenever it went on, under a lower number than that of its follower, which nobody checks on sites without fencing. A record counted as old by the wall clock alone: after a step of the reader's or the writer's clock two proxies took turns within the exclusive period. Change: an order that would go out more than a second after its record began is given up for the next number. Records carry the wall clock of the start plus monotonic time; the shortcut for old records needs a clock that was not stepped, and no announcement of a promotion within the period. Before: PromotionCoordinatorTest 5 of 17 red. After: green.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -187,6 +187,7 @@
                       onVoteReceived(failover, response.voteId(), from, response.reachable()));
       case PeerMessage.PromotionRecorded promotion -> {
         yieldTo(from, failovers.computeIfAbsent(promotion.pool(), this::newFailover));
+        promotions.onPromotionAnnounced(promotion.pool());
         fencing.onPromotionRecorded(promotion.pool(), promotion.member());
       }
       default -> {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.hickoryshed.decision.freshness.ClockReading;
 import org.hickoryshed.kernel.service.Service;
 import org.hickoryshed.kernel.worker.QueueWorker;
 import org.hickoryshed.session.eventlog.EventLog;
@@ -28,9 +30,18 @@
   /** The time for which only the proxy that wrote the last record may request another promotion. */
   private static final Duration EXCLUSIVE_PERIOD = Duration.ofSeconds(4);
 
-  /** The age by the wall clock from which a record is certainly older than the exclusive period. */
+  /**
+   * The age by the wall clock from which a record counts as older than the exclusive period. It is
+   * larger than that period because the clocks of two proxies may differ.
+   */
   private static final Duration STALE_RECORD_AGE = Duration.ofSeconds(10);
 
+  /**
+   * The longest time from a record to its request. Requests that come later, after a pause of the
+   * process, could follow those of another proxy.
+   */
+  private static final Duration MAX_REQUEST_DELAY = Duration.ofSeconds(1);
+
   /**
    * The times to wait for a response of the promotion service. A request without a response is
    * repeated under the next generation number, so that a late execution of the earlier one has no
@@ -50,15 +61,19 @@
 
   private final PromotionService promotions;
 
-  private final InstantSource clock;
-
-  private final LongSupplier monotonicClock;
+  private final StepDetectingClock clock;
 
   private final EventLog log;
 
   /** The last known record of each pool; used only by the worker thread. */
   private final Map<String, KnownRecord> lastRecords = new HashMap<>();
 
+  /**
+   * When another proxy last announced a promotion of a pool, as a monotonic clock reading in
+   * nanoseconds.
+   */
+  private final Map<String, Long> announcedNanos = new ConcurrentHashMap<>();
+
   private final QueueWorker<Runnable> worker;
 
   /**
@@ -81,8 +96,7 @@
     this.name = name;
     this.records = records;
     this.promotions = promotions;
-    this.clock = clock;
-    this.monotonicClock = monotonicClock;
+    this.clock = new StepDetectingClock(clock, monotonicClock);
     this.log = log;
     worker =
         new QueueWorker<>(
@@ -123,18 +137,36 @@
         () -> result.accept(promoteNow(pool, member, reason, recorded, mayTakeEffect)));
   }
 
+  /**
+   * Notes that another proxy recorded a promotion; may be called by any thread.
+   *
+   * @param pool The name of the pool.
+   */
+  public void onPromotionAnnounced(String pool) {
+    announcedNanos.put(pool, clock.monotonicNanos());
+  }
+
   /**
    * Records and requests a promotion on the calling thread, and repeats both while no response
-   * arrives.
+   * arrives, or if this process paused between the two.
    */
   PromotionResult promoteNow(
       String pool, String member, String reason, Runnable recorded, Runnable mayTakeEffect) {
     PromotionResult result = PromotionResult.NOT_HOLDER;
     for (Duration timeout : RESPONSE_TIMEOUTS) {
+      ClockReading before = clock.read();
       Optional<PromotionRecord> intent = recordIntent(pool, member);
       if (intent.isEmpty()) {
         return result;
       }
+      if (clock.read().millisSince(before) > MAX_REQUEST_DELAY.toMillis()) {
+        log.event("takeover-not-ordered")
+            .with("pool", pool)
+            .with("generation", intent.get().generation())
+            .with("reason", "the record took too long")
+            .write();
+        continue;
+      }
       recorded.run();
       result = sendRequest(pool, intent.get(), reason, timeout);
       if (result == PromotionResult.REFUSED) {
@@ -184,18 +216,18 @@
       }
       long revision = known == null ? 0 : known.revision;
       long generation = known == null ? 1 : known.record.generation() + 1;
-      PromotionRecord record = new PromotionRecord(name, generation, member, clock.millis());
+      PromotionRecord record = new PromotionRecord(name, generation, member, clock.steadyMillis());
       switch (records.writeIfUnchanged(pool, revision, record)) {
         case PromotionRecordStore.WriteOutcome.Written written -> {
           lastRecords.put(
-              pool, new KnownRecord(record, written.revision(), monotonicClock.getAsLong()));
+              pool, new KnownRecord(pool, record, written.revision(), clock.monotonicNanos()));
           return Optional.of(record);
         }
         case PromotionRecordStore.WriteOutcome.Conflict conflict ->
             lastRecords.put(
                 pool,
                 new KnownRecord(
-                    conflict.stored(), conflict.revision(), monotonicClock.getAsLong()));
+                    pool, conflict.stored(), conflict.revision(), clock.monotonicNanos()));
         case PromotionRecordStore.WriteOutcome.Unknown unknown -> {
           log.event("takeover-not-recorded")
               .with("pool", pool)
@@ -217,9 +249,19 @@
     if (known.record.holder().equals(name)) {
       return true;
     }
-    long age = Math.abs(clock.millis() - known.record.recordedMillis());
-    return age > STALE_RECORD_AGE.toMillis()
-        || monotonicClock.getAsLong() - known.firstSeenNanos > EXCLUSIVE_PERIOD.toNanos();
+    if (hasExclusivePeriodPassed(known.firstSeenNanos)) {
+      return true;
+    }
+    boolean announced =
+        Optional.ofNullable(announcedNanos.get(known.pool))
+            .map(nanos -> !hasExclusivePeriodPassed(nanos))
+            .orElse(false);
+    long age = Math.abs(clock.steadyMillis() - known.record.recordedMillis());
+    return !announced && !clock.hasStepped() && age > STALE_RECORD_AGE.toMillis();
+  }
+
+  private boolean hasExclusivePeriodPassed(long sinceNanos) {
+    return clock.monotonicNanos() - sinceNanos > EXCLUSIVE_PERIOD.toNanos();
   }
 
   /** The result of a promotion request. The names appear in the metric {@code takeovers}. */
@@ -251,10 +293,12 @@
   /**
    * The last record of a pool that this proxy read or wrote.
    *
+   * @param pool The name of the pool.
    * @param record The record.
    * @param revision Its revision in the store.
    * @param firstSeenNanos The monotonic clock reading in nanoseconds when this proxy first saw the
    *     record.
    */
-  private record KnownRecord(PromotionRecord record, long revision, long firstSeenNanos) {}
+  private record KnownRecord(
+      String pool, PromotionRecord record, long revision, long firstSeenNanos) {}
 }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
@@ -24,6 +24,7 @@
   private final FakeRecords records = new FakeRecords();
   private final FakePromotions promotions = new FakePromotions();
   private long millis = 1_000_000;
+  private long clockStepMillis;
 
   private final PromotionCoordinator first = coordinator("first");
   private final PromotionCoordinator second = coordinator("second");
@@ -138,18 +139,82 @@
     assertThat(generations()).doesNotHaveDuplicates();
   }
 
+  @Test
+  void requestsNothingUnderRecordThatWasFollowedDuringPause() {
+    records.afterWrite =
+        () -> {
+          millis += 20_000;
+          second.promoteNow(POOL, "m3", "the holder is frozen", () -> {}, () -> {});
+        };
+
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+    assertThat(generations()).containsExactly(2L);
+  }
+
+  @Test
+  void requestsPromotionUnderNextGenerationAfterPause() {
+    records.afterWrite = () -> millis += 20_000;
+
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(generations()).containsExactly(2L);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnotherProxyWhenOwnClockJumps() {
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 2_400_000;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnotherProxyWhoseClockJumped() {
+    clockStepMillis = -2_400_000;
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 0;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnnouncementWhateverTheRecordSays() {
+    clockStepMillis = -2_400_000;
+    coordinator("started with a wrong clock").promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 0;
+    second.onPromotionAnnounced(POOL);
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsPromotionAfterOldRecordThatItReadsForTheFirstTime() {
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    millis += 10_001;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
+  }
+
   /** Returns the generation numbers of the requested promotions, in order. */
   private List<Long> generations() {
     return promotions.requests.stream().map(PromotionRecord::generation).toList();
   }
 
-  /** Creates the coordinator of one proxy; both clocks read {@link #millis}. */
+  /**
+   * Creates the coordinator of one proxy; both clocks read {@link #millis}, and the wall clock is
+   * off by {@link #clockStepMillis}.
+   */
   private PromotionCoordinator coordinator(String name) {
     return new PromotionCoordinator(
         name,
         records,
         promotions,
-        () -> Instant.ofEpochMilli(millis),
+        () -> Instant.ofEpochMilli(millis + clockStepMillis),
         () -> millis * 1_000_000,
         new EventLog(name, "boot", OutputStream.nullOutputStream()));
   }
@@ -162,6 +227,9 @@
     private boolean responseIsLost;
     private Runnable beforeWrite = () -> {};
 
+    /** Runs once after the next write, before its response. */
+    private Runnable afterWrite = () -> {};
+
     @Override
     public WriteOutcome writeIfUnchanged(String pool, long revision, PromotionRecord record) {
       Runnable other = beforeWrite;
@@ -173,6 +241,9 @@
       }
       records.put(pool, record);
       revisions.put(pool, currentRevision + 1);
+      Runnable next = afterWrite;
+      afterWrite = () -> {};
+      next.run();
       return responseIsLost
           ? new WriteOutcome.Unknown("lost")
           : new WriteOutcome.Written(currentRevision + 1);
