--- a/hickoryshed-control/src/main/java/org/hickoryshed/control/TableEditor.java
+++ b/hickoryshed-control/src/main/java/org/hickoryshed/control/TableEditor.java
@@ -78,33 +78,43 @@
   }
 
   /**
-   * Writes tables and finds out by the identifier of the edit whether a write without response took
-   * effect.
+   * Writes tables and finds out by reading them whether a write without response took effect.
    *
    * @param wanted The tables, with the revision that they are based on.
    */
   private Result<Configuration, EditFailure> write(Configuration wanted) {
     Configuration next = wanted.edit(wanted.editId(), wanted.routes(), wanted.pools());
-    Result<Configuration, EditFailure> result =
-        Result.failure(new EditFailure.StoreUnavailable("the store did not answer"));
-    for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+    EditFailure lastFailure = new EditFailure.StoreUnavailable("the store did not answer");
+    for (int attempt = 0; attempt <= ATTEMPTS; attempt++) {
       switch (current()) {
         case Result.Failed<Versioned<Configuration>, EditFailure>(EditFailure failure) ->
-            result = Result.failure(failure);
+            lastFailure = failure;
         case Result.Success<Versioned<Configuration>, EditFailure>(
                 Versioned<Configuration> accepted) -> {
-          if (accepted.value().editId().equals(next.editId())) {
-            recordHistory(next);
-            return Result.success(next);
+          if (isSameEdit(accepted.value(), next)) {
+            recordHistory(accepted.value());
+            return Result.success(accepted.value());
           }
           if (accepted.value().revision() != wanted.revision()) {
             return Result.failure(conflict(wanted, accepted.value()));
           }
-          store.write(StoreClient.CONFIGURATION, accepted.version(), next, TIMEOUT);
+          // The last pass only finds out whether the write before it took effect.
+          if (attempt < ATTEMPTS) {
+            store.write(StoreClient.CONFIGURATION, accepted.version(), next, TIMEOUT);
+          }
         }
       }
     }
-    return result;
+    return Result.failure(lastFailure);
+  }
+
+  /**
+   * Checks whether the accepted configuration is the outcome of an edit: of this run, or of an
+   * earlier run with the same file whose answer was lost.
+   */
+  private static boolean isSameEdit(Configuration accepted, Configuration next) {
+    return accepted.editId().equals(next.editId())
+        || (accepted.revision() == next.revision() && difference(accepted, next).isEmpty());
   }
 
   private static EditFailure conflict(Configuration wanted, Configuration accepted) {
