Apply no change of the members that a later one has overtaken

Cause: a proxy learns members from its own watch and from peers. A batch of its watch that was older than the list of a peer added members that had left since, and removed members that had come back, until the next batch. HttpServerTest (reset instead of refusal, once): traced. Closing a listening socket resets connections that the kernel had queued and the server never accepted: 429 of 4,000 closes in a loop of sockets without our code. No request of such a connection was read, so the test accepts the reset while it waits, and still demands the refusal.

--- a/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/http/HttpServerTest.java
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/http/HttpServerTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
@@ -82,6 +83,9 @@
         connect();
       } catch (ConnectException exception) {
         return;
+      } catch (SocketException exception) {
+        // The kernel resets connections that were not accepted when the socket is closed.
+        assertThat(exception).hasMessageContaining("reset");
       }
       Thread.sleep(5);
     }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -325,13 +325,7 @@
 
   @Override
   public void onMemberChanges(MemberChanges update) {
-    loop()
-        .submit(
-            () -> {
-              update.changed().forEach(this::putMember);
-              update.removed().forEach(this::scheduleRemoval);
-              advanceMemberVersion(update.revision());
-            });
+    loop().submit(() -> applyMemberChanges(update));
   }
 
   /** Opens a session on an accepted connection, or closes the connection at the session limit. */
@@ -395,6 +389,21 @@
     advanceMemberVersion(update.lastChangeRevision().orElse(latest));
   }
 
+  /**
+   * Applies changes, except those that another source has overtaken: an unknown member whose entry
+   * is not newer than the known version has left since, and a member whose entry is newer than a
+   * removal has come back.
+   */
+  private void applyMemberChanges(MemberChanges update) {
+    update.changed().stream()
+        .filter(entry -> members.containsKey(entry.id()) || entry.revision() > memberVersion)
+        .forEach(this::putMember);
+    update.removed().stream()
+        .filter(id -> !members.containsKey(id) || members.get(id).revision() <= update.revision())
+        .forEach(this::scheduleRemoval);
+    advanceMemberVersion(update.revision());
+  }
+
   private void advanceMemberVersion(long version) {
     if (version > memberVersion) {
       memberVersion = version;
