Leave out members of a peer's list that have no usable address

Cause: the list of a peer was taken as it came; a port out of range ended its application half-way, on each try. Before: RelayCodecTest#leavesOutMembersWithoutUsableAddress red. After: green. Any bytes given to the codecs of relays and datagrams: 4 properties of 1,000 tries each, nothing but the typed failure (green before too).

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/DirectoryCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/DirectoryCodec.java
@@ -11,6 +11,7 @@
 import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.directory.MemberList;
+import org.hickoryshed.kernel.settings.Addresses;
 import org.hickoryshed.session.directory.DirectoryUpdate;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -125,12 +126,13 @@
     }
   }
 
+  /** Reads the members; those without a usable address are left out, as no session needs them. */
   private static MemberList readMembers(MessageUnpacker unpacker) throws IOException {
     long revision = unpacker.unpackLong();
     long lastChangeRevision = unpacker.unpackLong();
     List<MemberEntry> entries = new ArrayList<>();
     for (int remaining = unpacker.unpackInt(); remaining > 0; remaining--) {
-      entries.add(
+      MemberEntry entry =
           new MemberEntry(
               unpacker.unpackString(),
               unpacker.unpackString(),
@@ -140,7 +142,10 @@
               unpacker.unpackBoolean(),
               unpacker.unpackBoolean(),
               unpacker.unpackLong(),
-              unpacker.unpackLong()));
+              unpacker.unpackLong());
+      if (Addresses.isAddress(entry.address())) {
+        entries.add(entry);
+      }
     }
     return new MemberList(
         revision,
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/peer/PeerMessageTest.java
@@ -1,9 +1,13 @@
 package org.hickoryshed.session.peer;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 import java.util.Arrays;
 import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.hickoryshed.decision.membership.StoreWatchState;
 import org.hickoryshed.decision.topology.LogPosition;
 import org.junit.jupiter.api.Test;
@@ -47,4 +51,17 @@
     assertThat(PeerMessage.decode(other)).isEmpty();
     assertThat(PeerMessage.decode(new byte[] {(byte) 0xc1, 1, 2})).isEmpty();
   }
+
+  @Property(tries = 1000, seed = "20261205")
+  void rejectsArbitraryBytes(@ForAll byte[] bytes) {
+    assertThatCode(() -> PeerMessage.decode(bytes)).doesNotThrowAnyException();
+  }
+
+  @Property(tries = 1000, seed = "20261205")
+  void survivesChangedByte(
+      @ForAll @IntRange(max = 7) int number, @ForAll int position, @ForAll byte value) {
+    byte[] bytes = MESSAGES.get(number).encode("front-1");
+    bytes[Math.floorMod(position, bytes.length)] = value;
+    assertThatCode(() -> PeerMessage.decode(bytes)).doesNotThrowAnyException();
+  }
 }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -8,6 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.hickoryshed.decision.directory.DatabaseRoute;
 import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberEntry;
@@ -90,6 +93,50 @@
     }
   }
 
+  @Test
+  void leavesOutMembersWithoutUsableAddress() throws Exception {
+    for (String address : List.of("10.1.0.2:0", "10.1.0.2:65536", "10.1.0.2:-1", "x", "")) {
+      MemberEntry odd = new MemberEntry("m2", "orders", address, "gimpo", 2, true, false, 1, 19);
+      RelayMessage message = directoryOf(List.of(odd, MEMBER));
+
+      Optional<RelayMessage> decoded =
+          RelayCodec.decodeNext(ByteBuffer.wrap(RelayCodec.encode(message)));
+
+      assertThat(decoded).contains(directoryOf(List.of(MEMBER)));
+    }
+  }
+
+  @Property(tries = 1000, seed = "20261205")
+  void rejectsArbitraryBytes(@ForAll byte[] bytes) {
+    ByteBuffer input = ByteBuffer.allocate(bytes.length + Integer.BYTES);
+    decodeOrReject(input.putInt(bytes.length).put(bytes).flip());
+  }
+
+  @Property(tries = 1000, seed = "20261205")
+  void rejectsMessageWithChangedByte(
+      @ForAll @IntRange(max = 21) int number, @ForAll int position, @ForAll byte value) {
+    byte[] bytes = RelayCodec.encode(MESSAGES.get(number));
+    bytes[Integer.BYTES + Math.floorMod(position, bytes.length - Integer.BYTES)] = value;
+    decodeOrReject(ByteBuffer.wrap(bytes));
+  }
+
+  /** Decodes a message; only the exception for malformed messages may be thrown. */
+  private static void decodeOrReject(ByteBuffer input) {
+    try {
+      assertThat(RelayCodec.decodeNext(input)).isPresent();
+    } catch (RelayCodec.MalformedMessageException exception) {
+      assertThat(exception).hasMessageNotContaining("OutOfMemory");
+    }
+  }
+
+  private static RelayMessage directoryOf(List<MemberEntry> members) {
+    return new RelayMessage.Directory(
+        new DirectoryUpdate(
+            Optional.empty(),
+            Optional.of(new MemberList(23, OptionalLong.of(19), members)),
+            Map.of()));
+  }
+
   @Test
   void rejectsMalformedInput() {
     byte[] unknownKind = {0, 0, 0, 1, 99};
