--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -120,7 +120,7 @@
    */
   public void listen(InetSocketAddress address) {
     loop().listen(address, this::accept);
-    loop().schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
+    loop().scheduleEvery(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
   }
 
   /**
@@ -487,10 +487,7 @@
                 .anyMatch(MemberConnectionPool::isReachable);
   }
 
-  /**
-   * Closes surplus idle connections, opens missing ones and updates what other threads read;
-   * repeats itself.
-   */
+  /** Closes surplus idle connections, opens missing ones and updates what other threads read. */
   private void runMaintenance() {
     databases.values().forEach(Database::maintainConnections);
     connectionCounts =
@@ -499,6 +496,5 @@
             .map(MemberConnectionPool::counts)
             .reduce(ConnectionCounts.NONE, ConnectionCounts::plus);
     updateCanServe();
-    loop().schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
@@ -108,6 +108,25 @@
     return timer;
   }
 
+  /**
+   * Runs an action periodically on the thread of the loop for as long as the loop runs, also after
+   * it threw an exception.
+   *
+   * @param intervalMillis The time before the first run, and between the end of a run and the next
+   *     one.
+   */
+  public void scheduleEvery(long intervalMillis, Runnable action) {
+    schedule(
+        intervalMillis,
+        () -> {
+          try {
+            action.run();
+          } finally {
+            scheduleEvery(intervalMillis, action);
+          }
+        });
+  }
+
   /**
    * Listens for TCP connections.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/peer/PeerNetwork.java
@@ -112,7 +112,7 @@
   public void start(InetSocketAddress address, Listener receiver) throws IOException {
     listener = receiver;
     datagrams = loop.openUdpSocket(address, this::onDatagram);
-    loop.schedule(HEARTBEAT_MILLIS, this::sendHeartbeats);
+    loop.scheduleEvery(HEARTBEAT_MILLIS, this::sendHeartbeats);
   }
 
   /**
@@ -285,7 +285,6 @@
       transmit(peer, heartbeat.get());
       logIfLost(next, peer);
     }
-    loop.schedule(HEARTBEAT_MILLIS, this::sendHeartbeats);
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -116,13 +116,11 @@
    * @param pools The source of the names of all pools, read at each check.
    */
   public void start(Supplier<List<String>> pools) {
+    // Each pool is checked in a task of its own, so that an exception costs one pool only.
     loop()
-        .schedule(
+        .scheduleEvery(
             CHECK_INTERVAL_MILLIS,
-            () -> {
-              pools.get().forEach(this::checkPrimary);
-              start(pools);
-            });
+            () -> pools.get().forEach(pool -> loop().schedule(0, () -> checkPrimary(pool))));
   }
 
   /**
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
@@ -101,6 +101,22 @@
     loop.stop();
   }
 
+  @ParameterizedTest
+  @MethodSource("throwables")
+  void repeatsActionThatThrows(Throwable thrown) throws Exception {
+    CountDownLatch runs = new CountDownLatch(3);
+    loop.scheduleEvery(
+        1,
+        () -> {
+          runs.countDown();
+          throwUnchecked(thrown);
+        });
+    loop.start();
+
+    assertThat(runs.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    loop.stop();
+  }
+
   @Test
   void doesNotRunTimerOfHugeDelayEarly() throws Exception {
     loop.start();
