--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -84,6 +85,9 @@
 
   private volatile boolean draining;
 
+  /** True if no further statement is executed, since the process is about to end. */
+  private boolean refusing;
+
   /** The connections to all members by state, updated once a second for other threads. */
   private volatile ConnectionCounts connectionCounts = ConnectionCounts.NONE;
 
@@ -116,7 +120,7 @@
    */
   public void listen(InetSocketAddress address) {
     loop().listen(address, this::accept);
-    loop().schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
+    loop().scheduleEvery(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
   }
 
   /**
@@ -240,6 +244,39 @@
                     .forEach(CallerSession::closeWhenIdle));
   }
 
+  /**
+   * Refuses the further statements of all sessions, those that arrive later included, and closes
+   * each session as soon as it is idle; may be called by any thread.
+   */
+  public void refuseStatements() {
+    loop()
+        .submit(
+            () -> {
+              refusing = true;
+              List.copyOf(sessions).forEach(CallerSession::refuseStatements);
+            });
+  }
+
+  /**
+   * Ends all sessions now, with a response to each running statement; may be called by any thread.
+   */
+  public void finishSessions() {
+    loop().submit(() -> List.copyOf(sessions).forEach(CallerSession::finishForStop));
+  }
+
+  /**
+   * Returns the longest time that a statement may take; may be called by any thread.
+   *
+   * @return The longest statement timeout of all routes, zero without a route.
+   */
+  public Duration longestStatementTimeout() {
+    return Duration.ofMillis(
+        desired.routes().values().stream()
+            .mapToLong(DatabaseRoute::statementTimeoutMillis)
+            .max()
+            .orElse(0));
+  }
+
   @Override
   public EventLoop loop() {
     return context.loop();
@@ -288,13 +325,7 @@
 
   @Override
   public void onMemberChanges(MemberChanges update) {
-    loop()
-        .submit(
-            () -> {
-              update.changed().forEach(this::putMember);
-              update.removed().forEach(this::scheduleRemoval);
-              advanceMemberVersion(update.revision());
-            });
+    loop().submit(() -> applyMemberChanges(update));
   }
 
   /** Opens a session on an accepted connection, or closes the connection at the session limit. */
@@ -312,6 +343,9 @@
       session.attach(loop().registerAccepted(channel, session, limits));
       sessions.add(session);
       sessionCount = sessions.size();
+      if (refusing) {
+        session.refuseStatements();
+      }
     } catch (IOException exception) {
       Logger.warn("accepting a session failed: {}", exception.getMessage());
     }
@@ -355,6 +389,21 @@
     advanceMemberVersion(update.lastChangeRevision().orElse(latest));
   }
 
+  /**
+   * Applies changes, except those that another source has overtaken: an unknown member whose entry
+   * is not newer than the known version has left since, and a member whose entry is newer than a
+   * removal has come back.
+   */
+  private void applyMemberChanges(MemberChanges update) {
+    update.changed().stream()
+        .filter(entry -> members.containsKey(entry.id()) || entry.revision() > memberVersion)
+        .forEach(this::putMember);
+    update.removed().stream()
+        .filter(id -> !members.containsKey(id) || members.get(id).revision() <= update.revision())
+        .forEach(this::scheduleRemoval);
+    advanceMemberVersion(update.revision());
+  }
+
   private void advanceMemberVersion(long version) {
     if (version > memberVersion) {
       memberVersion = version;
@@ -438,10 +487,7 @@
                 .anyMatch(MemberConnectionPool::isReachable);
   }
 
-  /**
-   * Closes surplus idle connections, opens missing ones and updates what other threads read;
-   * repeats itself.
-   */
+  /** Closes surplus idle connections, opens missing ones and updates what other threads read. */
   private void runMaintenance() {
     databases.values().forEach(Database::maintainConnections);
     connectionCounts =
@@ -450,6 +496,5 @@
             .map(MemberConnectionPool::counts)
             .reduce(ConnectionCounts.NONE, ConnectionCounts::plus);
     updateCanServe();
-    loop().schedule(MAINTENANCE_INTERVAL_MILLIS, this::runMaintenance);
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
@@ -120,6 +120,8 @@
       attempt++;
       if (bound.get().isClosed()) {
         onResponseLost("the connection of the transaction ended");
+      } else if (transaction.get().provesPrimary() && isSuspended(bound.get().pool())) {
+        fail(statement.failureWithoutResponse(false), "the primary is being replaced");
       } else {
         send(Optional.empty());
       }
@@ -309,7 +311,29 @@
     }
   }
 
+  /** Checks if a member is about to be replaced as the primary. */
+  private boolean isSuspended(MemberConnectionPool pool) {
+    return context
+        .database(statement.route())
+        .map(database -> database.isSuspended(pool))
+        .orElse(false);
+  }
+
+  /** Checks if a write that the member reported as committed may be lost with its lead. */
+  private boolean isDoubtful() {
+    return statement.makesWritesDurable()
+        && context
+            .database(statement.route())
+            .flatMap(database -> member.map(database::mayHaveBeenReplaced))
+            .orElse(false);
+  }
+
   private void onDone(MemberResponse.Done done) {
+    if (isDoubtful()) {
+      connection.ifPresent(MemberConnection::release);
+      fail(FailureKind.UNKNOWN_OUTCOME, "the primary was being replaced when it committed");
+      return;
+    }
     statement.recordSuccess(done, required.isEmpty(), member, context.database(statement.route()));
     finish();
     telemetry.onDone(done);
@@ -460,8 +484,22 @@
     connection = Optional.empty();
   }
 
+  /** Fails the statement, since this process stops. */
+  void finishForStop() {
+    failUnfinished("this proxy stopped before the response");
+  }
+
   /** Fails the statement when its timeout has passed. */
   private void onDeadline() {
+    failUnfinished("out of time");
+  }
+
+  /**
+   * Fails the statement unless it is finished.
+   *
+   * @param textAfterSending The failure text if a response is awaited.
+   */
+  private void failUnfinished(String textAfterSending) {
     if (finished) {
       return;
     }
@@ -469,7 +507,7 @@
     cancelAttempt();
     fail(
         statement.failureWithoutResponse(wasAwaitingResponse),
-        wasAwaitingResponse ? "out of time" : RETRY_LATER);
+        wasAwaitingResponse ? textAfterSending : RETRY_LATER);
   }
 
   private void respondWithFailure(FailureKind kind, String text) {
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
@@ -24,13 +24,15 @@
   private final FakeRecords records = new FakeRecords();
   private final FakePromotions promotions = new FakePromotions();
   private long millis = 1_000_000;
+  private long clockStepMillis;
 
   private final PromotionCoordinator first = coordinator("first");
   private final PromotionCoordinator second = coordinator("second");
 
   @Test
   void recordsIntentBeforeRequestingPromotion() {
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(records.records.get(POOL)).isEqualTo(promotions.requests.get(0));
   }
 
@@ -38,15 +40,15 @@
   void requestsNoPromotionWithoutRecord() {
     records.responseIsLost = true;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(promotions.requests).isEmpty();
   }
 
   @Test
   void usesNewGenerationForEachPromotion() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -54,8 +56,9 @@
   @Test
   void usesNewGenerationAfterRequestWithoutResponse() {
     promotions.outcome = new PromotionService.Outcome.Unknown("lost");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.UNKNOWN);
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.UNKNOWN);
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
   }
@@ -64,7 +67,8 @@
   void repeatsRequestAtOnceWithoutResponse() {
     promotions.lostResponses = 2;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L, 3L);
     assertThat(records.records.get(POOL).generation()).isEqualTo(3);
   }
@@ -78,15 +82,17 @@
           records.revisions.merge(POOL, 1L, Long::sum);
         };
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.UNKNOWN);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.UNKNOWN);
     assertThat(generations()).containsExactly(1L);
   }
 
   @Test
   void usesNewGenerationAfterRefusal() {
     promotions.outcome = new PromotionService.Outcome.Refused("test");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.REFUSED);
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.REFUSED);
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -94,55 +100,121 @@
   @Test
   void usesNewGenerationWhenWriteSucceededWithoutResponse() {
     records.responseIsLost = true;
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
     records.responseIsLost = false;
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
 
     assertThat(generations()).containsExactly(2L);
   }
 
   @Test
   void requestsNoPromotionSoonAfterAnotherProxy() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(generations()).containsExactly(1L);
   }
 
   @Test
   void requestsPromotionOnceExclusivePeriodOfAnotherProxyEnded() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}))
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     millis += 4_001;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {})).isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L);
   }
 
   @Test
   void usesNoGenerationTwiceWhenTwoProxiesRace() {
-    first.promoteNow(POOL, "m2", "test", () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
     millis += 60_000;
-    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {});
+    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> {}, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
 
     assertThat(generations()).doesNotHaveDuplicates();
   }
 
+  @Test
+  void requestsNothingUnderRecordThatWasFollowedDuringPause() {
+    records.afterWrite =
+        () -> {
+          millis += 20_000;
+          second.promoteNow(POOL, "m3", "the holder is frozen", () -> {}, () -> {});
+        };
+
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+    assertThat(generations()).containsExactly(2L);
+  }
+
+  @Test
+  void requestsPromotionUnderNextGenerationAfterPause() {
+    records.afterWrite = () -> millis += 20_000;
+
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(generations()).containsExactly(2L);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnotherProxyWhenOwnClockJumps() {
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 2_400_000;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnotherProxyWhoseClockJumped() {
+    clockStepMillis = -2_400_000;
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 0;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsNoPromotionSoonAfterAnnouncementWhateverTheRecordSays() {
+    clockStepMillis = -2_400_000;
+    coordinator("started with a wrong clock").promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    clockStepMillis = 0;
+    second.onPromotionAnnounced(POOL);
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.NOT_HOLDER);
+  }
+
+  @Test
+  void requestsPromotionAfterOldRecordThatItReadsForTheFirstTime() {
+    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    millis += 10_001;
+
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
+  }
+
   /** Returns the generation numbers of the requested promotions, in order. */
   private List<Long> generations() {
     return promotions.requests.stream().map(PromotionRecord::generation).toList();
   }
 
-  /** Creates the coordinator of one proxy; both clocks read {@link #millis}. */
+  /**
+   * Creates the coordinator of one proxy; both clocks read {@link #millis}, and the wall clock is
+   * off by {@link #clockStepMillis}.
+   */
   private PromotionCoordinator coordinator(String name) {
     return new PromotionCoordinator(
         name,
         records,
         promotions,
-        () -> Instant.ofEpochMilli(millis),
+        () -> Instant.ofEpochMilli(millis + clockStepMillis),
         () -> millis * 1_000_000,
         new EventLog(name, "boot", OutputStream.nullOutputStream()));
   }
@@ -155,6 +227,9 @@
     private boolean responseIsLost;
     private Runnable beforeWrite = () -> {};
 
+    /** Runs once after the next write, before its response. */
+    private Runnable afterWrite = () -> {};
+
     @Override
     public WriteOutcome writeIfUnchanged(String pool, long revision, PromotionRecord record) {
       Runnable other = beforeWrite;
@@ -166,6 +241,9 @@
       }
       records.put(pool, record);
       revisions.put(pool, currentRevision + 1);
+      Runnable next = afterWrite;
+      afterWrite = () -> {};
+      next.run();
       return responseIsLost
           ? new WriteOutcome.Unknown("lost")
           : new WriteOutcome.Written(currentRevision + 1);
