--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/SettingsReader.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/settings/SettingsReader.java
@@ -44,7 +44,7 @@
 
   private final TomlParseResult toml;
 
-  private final Set<String> readKeys = new HashSet<>();
+  private final Set<List<String>> readPaths = new HashSet<>();
 
   private final List<SettingsProblem> problems = new ArrayList<>();
 
@@ -93,7 +93,7 @@
     return optionalText(key)
         .orElseGet(
             () -> {
-              if (!toml.contains(key)) {
+              if (!toml.contains(pathOf(key))) {
                 reportProblem(key, "missing", "a string");
               }
               return "";
@@ -249,16 +249,16 @@
    *     and left out.
    */
   public List<String> texts(String key) {
-    readKeys.add(key);
-    if (!toml.contains(key)) {
+    readPaths.add(pathOf(key));
+    if (!toml.contains(pathOf(key))) {
       return List.of();
     }
-    if (!toml.isArray(key)) {
-      reportProblem(key, String.valueOf(toml.get(key)), "a list of strings");
+    if (!toml.isArray(pathOf(key))) {
+      reportProblem(key, String.valueOf(toml.get(pathOf(key))), "a list of strings");
       return List.of();
     }
     List<String> texts = new ArrayList<>();
-    for (Object element : toml.getArrayOrEmpty(key).toList()) {
+    for (Object element : toml.getArrayOrEmpty(pathOf(key)).toList()) {
       if (element instanceof String text) {
         texts.add(text);
       } else {
@@ -275,7 +275,7 @@
    * @return The names in alphabetical order, empty if the key is missing or not a table.
    */
   public Set<String> tableNames(String key) {
-    TomlTable table = toml.isTable(key) ? toml.getTable(key) : null;
+    TomlTable table = toml.isTable(pathOf(key)) ? toml.getTable(pathOf(key)) : null;
     if (table == null) {
       return Set.of();
     }
@@ -297,7 +297,7 @@
    * @param expected What would be right.
    */
   public void reportProblem(String key, String value, String expected) {
-    TomlPosition position = toml.contains(key) ? toml.inputPositionOf(key) : null;
+    TomlPosition position = toml.contains(pathOf(key)) ? toml.inputPositionOf(pathOf(key)) : null;
     int line = position == null ? 0 : position.line();
     problems.add(new SettingsProblem(source, line, key, value, expected));
   }
@@ -310,23 +310,32 @@
    */
   public List<SettingsProblem> problems() {
     List<SettingsProblem> all = new ArrayList<>(problems);
-    for (String key : toml.dottedKeySet()) {
-      if (!readKeys.contains(key)) {
-        TomlPosition position = toml.inputPositionOf(key);
+    for (List<String> path : toml.keyPathSet()) {
+      if (!readPaths.contains(path)) {
+        TomlPosition position = toml.inputPositionOf(path);
         int line = position == null ? 0 : position.line();
+        String key = String.join(".", path);
         all.add(
-            new SettingsProblem(source, line, key, String.valueOf(toml.get(key)), "a known key"));
+            new SettingsProblem(source, line, key, String.valueOf(toml.get(path)), "a known key"));
       }
     }
     return List.copyOf(all);
   }
 
+  /**
+   * Splits a dotted key. The library would run its TOML parser to do so, which takes a notable part
+   * of the start of a process.
+   */
+  private static List<String> pathOf(String key) {
+    return List.of(key.split("\\."));
+  }
+
   private <T> Optional<T> readTyped(String key, Class<T> type, String expected) {
-    readKeys.add(key);
-    if (!toml.contains(key)) {
+    readPaths.add(pathOf(key));
+    if (!toml.contains(pathOf(key))) {
       return Optional.empty();
     }
-    Object value = toml.get(key);
+    Object value = toml.get(pathOf(key));
     if (type.isInstance(value)) {
       return Optional.of(type.cast(value));
     }
