Do not take a stall of this process for the silence of another

Change: EventLoop#scheduleTimeout, for what waits for another process, does not count the time for which the loop was late or busy; at most the delay is doubled by that, once. Used for opening a connection, probes and statuses, the doubt after BEGIN, and the attempts of a statement. Deadlines of callers are unchanged. Before: EventLoopTest#doesNotCountItsOwnStallAsSilenceOfAnother red with a plain timer. After: green.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/AttemptTimer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/AttemptTimer.java
@@ -39,7 +39,8 @@
    */
   void startAttempt(long timeoutMillis) {
     startedNanos = loop.now();
-    schedule(timeoutMillis, onTimeout);
+    cancel();
+    timer = Optional.of(loop.scheduleTimeout(timeoutMillis, onTimeout));
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/InternalRequest.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/InternalRequest.java
@@ -48,7 +48,7 @@
 
   /** Borrows a connection and sends the request; the timeout covers both. */
   void start(long timeoutMillis) {
-    loop.schedule(timeoutMillis, () -> finish(Optional.empty()));
+    loop.scheduleTimeout(timeoutMillis, () -> finish(Optional.empty()));
     lender.accept(this);
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnectionPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnectionPool.java
@@ -207,7 +207,7 @@
     long since = context.loop().now();
     context
         .loop()
-        .schedule(
+        .scheduleTimeout(
             SUSPECT_AFTER_MILLIS + 2 * context.oneWayLatencyMillis(entry.domain()),
             () -> {
               if (!health.hasRespondedSince(since) && isDirectlyReachable() && !retired) {
@@ -398,7 +398,7 @@
     }
     context
         .loop()
-        .schedule(
+        .scheduleTimeout(
             OPEN_TIMEOUT_MILLIS,
             () -> {
               if (!connection.isOpened()) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -39,7 +39,7 @@
       return;
     }
     pool.reconnect();
-    context.loop().schedule(timeoutMillis, () -> result.accept(pool.isDirectlyReachable()));
+    context.loop().scheduleTimeout(timeoutMillis, () -> result.accept(pool.isDirectlyReachable()));
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/net/EventLoop.java
@@ -14,6 +14,7 @@
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -44,6 +45,9 @@
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
+  /** Shorter delays of the loop are its ordinary work. */
+  private static final long MIN_STALL_NANOS = 20 * NANOS_PER_MILLI;
+
   private final Selector selector;
 
   /** Submitted by any thread, run by the thread of the loop. */
@@ -61,6 +65,12 @@
   private volatile boolean active = true;
   private long now = System.nanoTime();
 
+  /** When the first I/O event of this iteration was handled, empty if there was none. */
+  private OptionalLong busySince = OptionalLong.empty();
+
+  /** The total time for which the loop was late or busy without looking for I/O events. */
+  private long stalledNanos;
+
   /** Creates an event loop; its thread runs from {@link #start} on. */
   public EventLoop() {
     try {
@@ -108,6 +118,20 @@
     return timer;
   }
 
+  /**
+   * Schedules an action to run on the thread of the loop if another process has not answered in
+   * time. Time in which this process itself was stalled does not count, since the answer may be
+   * there but could not be handled; it prolongs the delay, at most by as much again.
+   *
+   * @return A timer that can be cancelled.
+   */
+  public Timer scheduleTimeout(long delayMillis, Runnable action) {
+    Timer timer = schedule(delayMillis, action);
+    timer.stallsBefore = stalledNanos;
+    timer.prolongation = Math.min(delayMillis, MAX_DELAY_MILLIS) * NANOS_PER_MILLI;
+    return timer;
+  }
+
   /**
    * Runs an action periodically on the thread of the loop for as long as the loop runs, also after
    * it threw an exception.
@@ -238,11 +262,14 @@
   private void run() {
     while (active) {
       try {
+        busySince = OptionalLong.empty();
         select();
         now = System.nanoTime();
+        long start = busySince.orElse(now);
         runTasks();
         runDueTimers();
         flush();
+        addStall(System.nanoTime() - start);
       } catch (IOException exception) {
         Logger.error(exception, "the selector failed");
       }
@@ -278,11 +305,22 @@
       selector.selectNow(this::onReady);
     } else {
       selector.select(this::onReady, wait);
+      addStall(System.nanoTime() - next.due);
+    }
+  }
+
+  /** Counts a time for which the loop did not run or did not look for I/O events. */
+  private void addStall(long nanos) {
+    if (nanos > MIN_STALL_NANOS) {
+      stalledNanos += nanos;
     }
   }
 
   private void onReady(SelectionKey key) {
     now = System.nanoTime();
+    if (busySince.isEmpty()) {
+      busySince = OptionalLong.of(now);
+    }
     guard(
         () -> {
           switch (key.attachment()) {
@@ -313,12 +351,28 @@
   private void runDueTimers() {
     for (Timer next = timers.peek(); next != null && next.due - now <= 0; next = timers.peek()) {
       Timer due = timers.poll();
-      if (!due.cancelled) {
+      if (!due.cancelled && !prolong(due)) {
         guard(due.action);
       }
     }
   }
 
+  /**
+   * Prolongs a timer by the time for which the loop was stalled since it was scheduled.
+   *
+   * @return {@code false} if the timer is not to be prolonged, or was already.
+   */
+  private boolean prolong(Timer timer) {
+    long stalled = stalledNanos + (now - timer.due) - timer.stallsBefore;
+    if (timer.prolongation == 0 || stalled < MIN_STALL_NANOS) {
+      return false;
+    }
+    timer.due = now + Math.min(stalled, timer.prolongation);
+    timer.prolongation = 0;
+    timers.add(timer);
+    return true;
+  }
+
   private void flush() {
     for (Connection next = unflushed.poll(); next != null; next = unflushed.poll()) {
       Connection connection = next;
@@ -342,11 +396,17 @@
   public static final class Timer {
 
     /** When the action is due, in nanoseconds of the monotonic clock. */
-    private final long due;
+    private long due;
 
     private final Runnable action;
     private boolean cancelled;
 
+    /** The stalls of the loop when the timer was scheduled, in nanoseconds. */
+    private long stallsBefore;
+
+    /** The longest time by which stalls may still prolong the timer, in nanoseconds. */
+    private long prolongation;
+
     private Timer(long due, Runnable action) {
       this.due = due;
       this.action = action;
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/net/EventLoopTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -29,6 +30,8 @@
 
   private static final int TIMEOUT_MILLIS = 5000;
 
+  private static final int STALL_MILLIS = 300;
+
   private final EventLoop loop = new EventLoop();
 
   @Test
@@ -117,6 +120,57 @@
     loop.stop();
   }
 
+  @Test
+  void doesNotCountItsOwnStallAsSilenceOfAnother() throws Exception {
+    AtomicBoolean timedOut = new AtomicBoolean();
+    CountDownLatch answered = new CountDownLatch(1);
+    loop.start();
+    loop.submit(
+        () -> {
+          EventLoop.Timer timeout = loop.scheduleTimeout(100, () -> timedOut.set(true));
+          // Stands for the answer of another process, which needs one more round of the loop.
+          loop.schedule(
+              1,
+              () ->
+                  loop.schedule(
+                      20,
+                      () -> {
+                        timeout.cancel();
+                        answered.countDown();
+                      }));
+          pauseUninterruptibly(STALL_MILLIS);
+        });
+
+    assertThat(answered.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    assertThat(timedOut).isFalse();
+    loop.stop();
+  }
+
+  @Test
+  void runsTimeoutOfSilentProcessInTime() throws Exception {
+    CountDownLatch timedOut = new CountDownLatch(1);
+    loop.start();
+    loop.submit(() -> loop.scheduleTimeout(50, timedOut::countDown));
+
+    assertThat(timedOut.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    loop.stop();
+  }
+
+  @Test
+  void runsTimeoutAfterStallOnce() throws Exception {
+    CountDownLatch timedOut = new CountDownLatch(2);
+    loop.start();
+    loop.submit(
+        () -> {
+          loop.scheduleTimeout(50, timedOut::countDown);
+          loop.schedule(1, () -> pauseUninterruptibly(STALL_MILLIS));
+        });
+
+    assertThat(timedOut.await(3 * STALL_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
+    assertThat(timedOut.getCount()).isEqualTo(1);
+    loop.stop();
+  }
+
   @Test
   void doesNotRunTimerOfHugeDelayEarly() throws Exception {
     loop.start();
@@ -159,6 +213,13 @@
     }
   }
 
+  private static void pauseUninterruptibly(long millis) {
+    long end = System.nanoTime() + millis * 1_000_000;
+    while (System.nanoTime() - end < 0) {
+      LockSupport.parkNanos(end - System.nanoTime());
+    }
+  }
+
   private static InetSocketAddress freeTcpAddress() throws IOException {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
       return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
