--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PrimaryClaims.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PrimaryClaims.java
@@ -36,6 +36,20 @@
     members.add(member);
   }
 
+  /**
+   * Records that a member registered itself as the primary where a replaced primary may still do
+   * so: the member that gave the latest proof keeps precedence as long as it is said to be the
+   * primary.
+   *
+   * @param member The identifier of the member.
+   */
+  public void recordClaimBehindProof(String member) {
+    recordClaim(member);
+    if (members.contains(provenMember)) {
+      recordClaim(provenMember);
+    }
+  }
+
   /**
    * Records that a member registered itself as a replica or is gone.
    *
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PrimaryClaimsTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PrimaryClaimsTest.java
@@ -58,4 +58,20 @@
 
     assertThat(claims.byRecency()).isEmpty();
   }
+
+  @Test
+  void keepsProvenMemberBeforeLaterClaim() {
+    claims.recordProof("new", 3);
+    claims.recordClaimBehindProof("old");
+    assertThat(claims.byRecency()).containsExactly("new", "old");
+    assertThat(claims.isLatestProven()).isTrue();
+  }
+
+  @Test
+  void acceptsLaterClaimOnceProvenMemberIsNoPrimary() {
+    claims.recordProof("old", 3);
+    claims.removeClaim("old");
+    claims.recordClaimBehindProof("new");
+    assertThat(claims.byRecency()).containsExactly("new");
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -127,7 +127,7 @@
     if (!entry.primary()) {
       claims.removeClaim(entry.id());
     } else if (!sameIncarnation || !known.pool.entry().primary()) {
-      claims.recordClaim(entry.id());
+      recordClaim(entry.id());
     }
     if (sameIncarnation) {
       known.pool.update(entry);
@@ -142,6 +142,14 @@
     added.pool.openKeptConnection();
   }
 
+  private void recordClaim(String id) {
+    if (context.fencedByPlatform().getAsBoolean()) {
+      claims.recordClaim(id);
+    } else {
+      claims.recordClaimBehindProof(id);
+    }
+  }
+
   /** Removes a member; does nothing if it is not known. */
   public void remove(String id) {
     Member known = members.remove(id);
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -1,6 +1,7 @@
 package org.hickoryshed.session.member;
 
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.hickoryshed.kernel.metric.Metrics;
 import org.hickoryshed.session.eventlog.EventLog;
@@ -14,6 +15,7 @@
  * @param processName The name of this process, by which members and other proxies know it.
  * @param domain The failure domain of this process.
  * @param regions The region of each failure domain, by the name of the domain.
+ * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
  * @param sharing Supplies the connection sharing, which is created after this record.
  * @param loop The event loop that owns all connections.
  * @param wireFormat The format of the messages to and from members.
@@ -23,6 +25,7 @@
     String processName,
     String domain,
     Map<String, String> regions,
+    BooleanSupplier fencedByPlatform,
     Supplier<ConnectionSharing> sharing,
     EventLoop loop,
     WireFormat wireFormat,
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
@@ -1,7 +1,6 @@
 package org.hickoryshed.session.promotion;
 
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
@@ -40,22 +39,15 @@
 
   private final Function<String, Optional<Database>> databases;
 
-  private final BooleanSupplier fencedByPlatform;
-
   /**
    * Creates the fencing of all databases.
    *
    * @param context The dependencies that the connection pools of all members share.
    * @param databases Finds a database by the name of its pool.
-   * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
    */
-  PrimaryFencing(
-      MemberContext context,
-      Function<String, Optional<Database>> databases,
-      BooleanSupplier fencedByPlatform) {
+  PrimaryFencing(MemberContext context, Function<String, Optional<Database>> databases) {
     this.context = context;
     this.databases = databases;
-    this.fencedByPlatform = fencedByPlatform;
   }
 
   /**
@@ -65,7 +57,7 @@
    * @param member The identifier of the member that is to be promoted.
    */
   void onPromotionRecorded(String pool, String member) {
-    if (!fencedByPlatform.getAsBoolean()) {
+    if (!context.fencedByPlatform().getAsBoolean()) {
       databases
           .apply(pool)
           .ifPresent(database -> database.suspendPrimaryUnless(member, SUSPENSION_MILLIS));
@@ -74,7 +66,7 @@
 
   /** Tells a leaving primary to step down, because a promotion may take effect from now on. */
   void depose(Incumbent incumbent) {
-    if (!fencedByPlatform.getAsBoolean()) {
+    if (!context.fencedByPlatform().getAsBoolean()) {
       requestStepDown(incumbent.pool, incumbent.term + 1);
     }
   }
@@ -84,7 +76,7 @@
    * proved a later term. Called periodically.
    */
   void deposeReplacedPrimaries(Database database) {
-    if (fencedByPlatform.getAsBoolean() || database.provenTerm().isEmpty()) {
+    if (context.fencedByPlatform().getAsBoolean() || database.provenTerm().isEmpty()) {
       return;
     }
     Optional<MemberConnectionPool> primary = database.claimedPrimary();
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -94,20 +93,18 @@
    * @param peers The network of the other proxies.
    * @param promotions Requests promotions.
    * @param databases Finds a database by the name of its pool.
-   * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
    */
   public PrimaryMonitor(
       MemberContext context,
       PeerNetwork peers,
       PromotionCoordinator promotions,
-      Function<String, Optional<Database>> databases,
-      BooleanSupplier fencedByPlatform) {
+      Function<String, Optional<Database>> databases) {
     this.context = context;
     this.peers = peers;
     this.promotions = promotions;
     this.databases = databases;
     announcer = new PrimaryAnnouncer(context, peers, databases);
-    fencing = new PrimaryFencing(context, databases, fencedByPlatform);
+    fencing = new PrimaryFencing(context, databases);
   }
 
   /**
