--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
@@ -27,15 +27,6 @@
   /** The time within which a caller must open a database, in milliseconds. */
   private static final long OPEN_TIMEOUT_MILLIS = 10_000;
 
-  /** The time that opening a database waits for the first desired state, in milliseconds. */
-  private static final long DESIRED_STATE_TIMEOUT_MILLIS = 1500;
-
-  /** The interval at which opening a database checks for the first desired state. */
-  private static final long DESIRED_STATE_POLL_MILLIS = 20;
-
-  /** The failure text of a statement that this process does not execute any more. */
-  private static final String PROCESS_STOPS = "not run; this proxy stops; try another one now";
-
   private final SessionContext context;
 
   /** The values and prepared statements, under the names that the caller chose. */
@@ -134,7 +125,9 @@
     refuseStatements();
     execution.ifPresent(StatementExecution::finishForStop);
     if (opening) {
-      context.wireFormat().writeFailure(connection.output(), FailureKind.OVERLOADED, PROCESS_STOPS);
+      context
+          .wireFormat()
+          .writeFailure(connection.output(), FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
     }
     connection.closeAfterFlush();
   }
@@ -321,42 +314,29 @@
    */
   private void reject(FailureKind kind) {
     context.metrics().counter("caller_messages_rejected", "kind", kind.name()).inc();
-    context.wireFormat().writeFailure(connection.output(), kind, "the message can't be read");
+    failAndClose(kind, "the message can't be read");
+  }
+
+  private void failAndClose(FailureKind kind, String text) {
+    context.wireFormat().writeFailure(connection.output(), kind, text);
     connection.closeAfterFlush();
   }
 
   private void open(String name) {
     if (refusing) {
-      context.wireFormat().writeFailure(connection.output(), FailureKind.OVERLOADED, PROCESS_STOPS);
+      context
+          .wireFormat()
+          .writeFailure(connection.output(), FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
       connection.closeAfterFlush();
       return;
     }
     opening = true;
-    openOnceDesiredStateKnown(
-        name, context.loop().now() + DESIRED_STATE_TIMEOUT_MILLIS * 1_000_000);
+    DesiredStateWait.start(
+        context, connection::isClosed, desired -> onDesiredStateKnown(name, desired));
   }
 
-  /**
-   * Opens a database once a desired state is known, or refuses it if no route leads to it.
-   *
-   * <p>A process accepts sessions before it has received its first desired state. A session that
-   * still finds none at the deadline is refused as overloaded, not as one of an unknown database.
-   *
-   * @param name The name of the database.
-   * @param deadlineNanos When to stop waiting, as a reading of the monotonic clock.
-   */
-  private void openOnceDesiredStateKnown(String name, long deadlineNanos) {
-    if (connection.isClosed()) {
-      return;
-    }
-    DesiredState desired = context.desired();
-    if (desired.version() == 0 && context.loop().now() - deadlineNanos < 0) {
-      context
-          .loop()
-          .schedule(
-              DESIRED_STATE_POLL_MILLIS, () -> openOnceDesiredStateKnown(name, deadlineNanos));
-      return;
-    }
+  /** Opens a database, or refuses it if no route leads to it. */
+  private void onDesiredStateKnown(String name, DesiredState desired) {
     opening = false;
     if (desired.route(name).isPresent()) {
       database = Optional.of(name);
@@ -372,8 +352,7 @@
         .with("kind", kind)
         .with("desired-version", desired.version())
         .write();
-    context.wireFormat().writeFailure(connection.output(), kind, name);
-    connection.closeAfterFlush();
+    failAndClose(kind, name);
   }
 
   /**
@@ -387,7 +366,7 @@
       return;
     }
     if (refusing) {
-      respondWithFailure(FailureKind.OVERLOADED, PROCESS_STOPS);
+      respondWithFailure(FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
       return;
     }
     switch (request.statement()) {
@@ -411,8 +390,7 @@
         if (sessionState.prepare(prepare.name(), prepare.shape())) {
           respond(List.of(), Optional.empty(), transactionState());
         } else {
-          respondWithFailure(
-              FailureKind.TOO_LARGE, "the session holds too many prepared statements");
+          respondWithFailure(FailureKind.TOO_LARGE, "too many prepared statements");
         }
       }
       case Statement.Deallocate deallocate -> {
--- /dev/null
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/FailureTexts.java
@@ -0,0 +1,22 @@
+package org.hickoryshed.session.caller;
+
+/** The texts of failures that tell callers what they can do. */
+final class FailureTexts {
+
+  /** Of a statement that did not run before its timeout. */
+  static final String RETRY_LATER = "not run; try again in 100 ms";
+
+  /** Of a statement that another proxy may be able to run. */
+  static final String TRY_OTHER_PROXY = "not run; cut off from the primary; try another proxy";
+
+  /** Of a statement that this process does not execute any more. */
+  static final String PROCESS_STOPS = "not run; this proxy stops; try another one now";
+
+  /** Of a statement that was sent, but whose response this process can't await any more. */
+  static final String STOPPED = "this proxy stopped before the response";
+
+  /** Of a write that a primary committed after it may have been replaced. */
+  static final String PRIMARY_REPLACED = "the primary was being replaced when it committed";
+
+  private FailureTexts() {}
+}
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
@@ -77,6 +77,29 @@
         : transaction.isEmpty() && access == Access.WRITE;
   }
 
+  /**
+   * Checks if the statement belongs to a transaction at a primary that is about to be replaced.
+   *
+   * @param pool The connections to the member that the transaction is bound to.
+   * @param database The database, empty if the route's pool never had a member.
+   */
+  boolean isAtSuspendedPrimary(MemberConnectionPool pool, Optional<Database> database) {
+    return transaction.map(Transaction::provesPrimary).orElse(false)
+        && database.map(known -> known.isSuspended(pool)).orElse(false);
+  }
+
+  /**
+   * Checks if what the statement made durable may be lost, because the member may have been
+   * replaced as the primary before.
+   *
+   * @param member The member that responded.
+   * @param database The database, empty if the route's pool never had a member.
+   */
+  boolean mayBeLost(Optional<MemberConnectionPool> member, Optional<Database> database) {
+    return makesWritesDurable()
+        && database.flatMap(known -> member.map(known::mayHaveBeenReplaced)).orElse(false);
+  }
+
   /**
    * Returns the failure to report when no response of a member arrived.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
@@ -44,13 +44,6 @@
   /** How often a read is sent at most. */
   private static final int MAX_READ_ATTEMPTS = 3;
 
-  /** The failure text of a statement that did not run before its timeout. */
-  private static final String RETRY_LATER = "not run; try again in 100 ms";
-
-  /** The failure text of a statement that another proxy may be able to run. */
-  private static final String TRY_OTHER_PROXY =
-      "not run; cut off from the primary; try another proxy";
-
   private final SessionContext context;
 
   private final CallerSession session;
@@ -120,7 +113,7 @@
       attempt++;
       if (bound.get().isClosed()) {
         onResponseLost("the connection of the transaction ended");
-      } else if (transaction.get().provesPrimary() && isSuspended(bound.get().pool())) {
+      } else if (statement.isAtSuspendedPrimary(bound.get().pool(), database())) {
         fail(statement.failureWithoutResponse(false), "the primary is being replaced");
       } else {
         send(Optional.empty());
@@ -195,7 +188,7 @@
     attempt++;
     connection = Optional.empty();
     member = Optional.empty();
-    Optional<Database> database = context.database(statement.route());
+    Optional<Database> database = database();
     if (database.isEmpty()) {
       retryAfterDelay("no members");
       return;
@@ -222,7 +215,7 @@
     member = reader.or(() -> database.get().primary().filter(MemberConnectionPool::isReachable));
     if (member.isEmpty()) {
       if (database.get().isCutOff() && statement.shouldFailFast(context.loop().now())) {
-        fail(statement.failureWithoutResponse(false), TRY_OTHER_PROXY);
+        fail(statement.failureWithoutResponse(false), FailureTexts.TRY_OTHER_PROXY);
       } else {
         retryAfterDelay("no primary");
       }
@@ -311,30 +304,17 @@
     }
   }
 
-  /** Checks if a member is about to be replaced as the primary. */
-  private boolean isSuspended(MemberConnectionPool pool) {
-    return context
-        .database(statement.route())
-        .map(database -> database.isSuspended(pool))
-        .orElse(false);
-  }
-
-  /** Checks if a write that the member reported as committed may be lost with its lead. */
-  private boolean isDoubtful() {
-    return statement.makesWritesDurable()
-        && context
-            .database(statement.route())
-            .flatMap(database -> member.map(database::mayHaveBeenReplaced))
-            .orElse(false);
+  private Optional<Database> database() {
+    return context.database(statement.route());
   }
 
   private void onDone(MemberResponse.Done done) {
-    if (isDoubtful()) {
+    if (statement.mayBeLost(member, database())) {
       connection.ifPresent(MemberConnection::release);
-      fail(FailureKind.UNKNOWN_OUTCOME, "the primary was being replaced when it committed");
+      fail(FailureKind.UNKNOWN_OUTCOME, FailureTexts.PRIMARY_REPLACED);
       return;
     }
-    statement.recordSuccess(done, required.isEmpty(), member, context.database(statement.route()));
+    statement.recordSuccess(done, required.isEmpty(), member, database());
     finish();
     telemetry.onDone(done);
     if (transaction.isPresent() && !statement.isCommit()) {
@@ -414,10 +394,7 @@
               excluded.add(refusing.entry().id());
               refusing.markBehind(RETRY_DELAY_MILLIS * 4);
             }
-            case NOT_PRIMARY ->
-                context
-                    .database(statement.route())
-                    .ifPresent(database -> database.onNotPrimary(refusing));
+            case NOT_PRIMARY -> database().ifPresent(known -> known.onNotPrimary(refusing));
             default -> context.metrics().counter("member_refusals", "kind", kind.name()).inc();
           }
         });
@@ -466,10 +443,7 @@
     selectMember();
   }
 
-  /**
-   * Cancels the current attempt: gives its connection back, or stops waiting for one. The
-   * connection of a transaction stays bound to it.
-   */
+  /** Gives up the connection, or the wait for one, unless a transaction is bound to it. */
   private void cancelAttempt() {
     attemptTimer.cancel();
     attempt++;
@@ -486,7 +460,7 @@
 
   /** Fails the statement, since this process stops. */
   void finishForStop() {
-    failUnfinished("this proxy stopped before the response");
+    failUnfinished(FailureTexts.STOPPED);
   }
 
   /** Fails the statement when its timeout has passed. */
@@ -507,7 +481,7 @@
     cancelAttempt();
     fail(
         statement.failureWithoutResponse(wasAwaitingResponse),
-        wasAwaitingResponse ? textAfterSending : RETRY_LATER);
+        wasAwaitingResponse ? textAfterSending : FailureTexts.RETRY_LATER);
   }
 
   private void respondWithFailure(FailureKind kind, String text) {
