--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
@@ -125,11 +125,10 @@
     refuseStatements();
     execution.ifPresent(StatementExecution::finishForStop);
     if (opening) {
-      context
-          .wireFormat()
-          .writeFailure(connection.output(), FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
+      failAndClose(FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
+    } else {
+      connection.closeAfterFlush();
     }
-    connection.closeAfterFlush();
   }
 
   /**
@@ -324,10 +323,7 @@
 
   private void open(String name) {
     if (refusing) {
-      context
-          .wireFormat()
-          .writeFailure(connection.output(), FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
-      connection.closeAfterFlush();
+      failAndClose(FailureKind.OVERLOADED, FailureTexts.PROCESS_STOPS);
       return;
     }
     opening = true;
