--- a/review/standins/ReleaseWithSyncReplica.java
+++ b/review/standins/ReleaseWithSyncReplica.java
@@ -22,7 +22,7 @@
 final class ReleaseWithSyncReplica {
 
   private static final int SERVICES = 6;
-  private static final int ROUNDS = 6;
+  private static final int ROUNDS = 9;
   private static final int SESSIONS_PER_SERVICE = 2;
   private static final long DRAIN_MILLIS = 7000;
   private static final String FAR_ZONE = "seobu";
