--- a/review/standins/CutResponse.java
+++ b/review/standins/CutResponse.java
@@ -23,7 +23,7 @@
 
   private static final double CUT_SHARE = 0.05;
   private static final double CUT_SECONDS = 3.0;
-  private static final int SESSIONS = 12;
+  private static final int SESSIONS = 20;
 
   private CutResponse() {}
 
--- a/review/standins/Record.java
+++ b/review/standins/Record.java
@@ -11,7 +11,15 @@
   private final long start = System.nanoTime();
   private final PrintWriter writer;
 
+  /** Opens the record. From then on, a script whose main thread fails exits as one that couldn't run. */
   Record(Path file) {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, thrown) -> {
+          thrown.printStackTrace();
+          if (thread.getName().equals("main")) {
+            Runtime.getRuntime().exit(2);
+          }
+        });
     try {
       writer = new PrintWriter(Files.newBufferedWriter(file));
     } catch (IOException exception) {
