Promote no replica without the reports of enough replicas

Cause: a member that gave no status in time stayed a candidate with the position of its last message, and a member that was not reachable was left out. The number of confirming replicas was decoded, never used.

Why it works: a commit is acknowledged once the confirming replicas hold it. Any group of replicas that leaves out fewer than these has one that holds it, so the latest log of such a group holds all of them. A replica that did not report is asked again over a new connection, as only a new connection tells a silent one from a failed member. Replicas that vanished or restarted count until a later commit was acknowledged. Databases whose primary waits for no replica are promoted as before.

Related paths: replicas that are unreachable, that vanished from the directory, that restarted, and a leaving replica that alone holds a commit.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PromotionCandidate.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PromotionCandidate.java
@@ -18,6 +18,10 @@
 public record PromotionCandidate(
     String member, LogPosition received, boolean notLeaving, long oneWayMillis) {
 
+  private static final Comparator<PromotionCandidate> LATEST_LOG =
+      Comparator.<PromotionCandidate>comparingLong(candidate -> candidate.received.term())
+          .thenComparingLong(candidate -> candidate.received.index());
+
   /**
    * Prefers members that are not leaving, then the latest received log position, then the lowest
    * latency. Positions are compared by term first and by index within a term, so a shorter log of a
@@ -25,8 +29,7 @@
    */
   private static final Comparator<PromotionCandidate> PREFERENCE =
       Comparator.comparing(PromotionCandidate::notLeaving)
-          .thenComparingLong(candidate -> candidate.received.term())
-          .thenComparingLong(candidate -> candidate.received.index())
+          .thenComparing(LATEST_LOG)
           .thenComparing(Comparator.comparingLong(PromotionCandidate::oneWayMillis).reversed());
 
   /**
@@ -38,4 +41,16 @@
   public static Optional<PromotionCandidate> choose(Collection<PromotionCandidate> candidates) {
     return candidates.stream().max(PREFERENCE);
   }
+
+  /**
+   * Chooses the member to promote where no commit that a candidate holds may be lost: only those
+   * with the latest log are considered, even if all of them are leaving.
+   *
+   * @param candidates The candidates.
+   * @return The preferred candidate, empty if there is none.
+   */
+  public static Optional<PromotionCandidate> chooseWithLatestLog(
+      Collection<PromotionCandidate> candidates) {
+    return candidates.stream().max(LATEST_LOG.thenComparing(PREFERENCE));
+  }
 }
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PromotionCandidateTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PromotionCandidateTest.java
@@ -31,9 +31,19 @@
     assertThat(chosen(of("leaving", 4, 20, false, 0))).isEqualTo("leaving");
   }
 
+  @Test
+  void choosesLeavingMemberIfItAloneHasTheLatestLog() {
+    List<PromotionCandidate> candidates =
+        List.of(of("leaving", 4, 20, false, 0), of("staying", 4, 19, true, 8));
+    assertThat(PromotionCandidate.chooseWithLatestLog(candidates))
+        .map(PromotionCandidate::member)
+        .contains("leaving");
+  }
+
   @Test
   void choosesNoneWithoutCandidates() {
     assertThat(PromotionCandidate.choose(List.of())).isEmpty();
+    assertThat(PromotionCandidate.chooseWithLatestLog(List.of())).isEmpty();
   }
 
   private static PromotionCandidate of(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionServer.java
@@ -370,7 +370,7 @@
         .with("routes", update.routes().size())
         .write();
     desired = update;
-    databases.forEach(this::applyConnectionLimit);
+    databases.forEach(this::configure);
     updateCanServe();
     directoryChangeListener.run();
   }
@@ -443,8 +443,9 @@
                   new Database(
                       context,
                       (suspected, reason) -> primarySuspicionListener.accept(suspected, reason),
-                      requesting -> floorRequester.accept(pool, requesting));
-              applyConnectionLimit(pool, created);
+                      requesting -> floorRequester.accept(pool, requesting),
+                      id -> !pendingRemovals.contains(id));
+              configure(pool, created);
               return created;
             });
     database.put(entry);
@@ -469,14 +470,13 @@
     MemberEntry removed = members.remove(id);
     if (removed != null) {
       log().event("member-gone").with("member", id).with("pool", removed.pool()).write();
-      Optional.ofNullable(databases.get(removed.pool())).ifPresent(database -> database.remove(id));
+      databaseOf(removed.pool()).ifPresent(database -> database.remove(id));
     }
   }
 
-  /** Applies the connection limit of the desired state, if it has an entry for the pool. */
-  private void applyConnectionLimit(String pool, Database database) {
-    Optional.ofNullable(desired.pools().get(pool))
-        .ifPresent(entry -> database.setConnectionLimit(entry.connections()));
+  /** Applies the desired state to a database, if it has an entry for the pool. */
+  private void configure(String pool, Database database) {
+    Optional.ofNullable(desired.pools().get(pool)).ifPresent(database::configure);
   }
 
   private void updateCanServe() {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
@@ -184,6 +184,7 @@
                       known.recordPrimary(primary.entry().id(), position.term(), "its response")));
     }
     if (committed) {
+      database.ifPresent(known -> known.onCommitAcknowledged(done.sentAt()));
       session.recordCommit(position);
     }
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -1,10 +1,8 @@
 package org.hickoryshed.session.member;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -12,11 +10,15 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
+import org.hickoryshed.decision.directory.DesiredState;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.freshness.ClockReading;
 import org.hickoryshed.decision.freshness.FloorHistory;
+import org.hickoryshed.decision.promotion.DepartedReplicas;
 import org.hickoryshed.decision.promotion.PrimaryClaims;
+import org.hickoryshed.decision.promotion.PromotionQuorum;
 import org.hickoryshed.decision.topology.LogPosition;
 
 /**
@@ -42,9 +44,6 @@
   /** Added to the estimated latency of a member in another failure domain of the same region. */
   private static final double OTHER_DOMAIN_PENALTY_NANOS = 3e6;
 
-  /** How long reads wait for a fresh floor, in milliseconds. */
-  private static final long FLOOR_TIMEOUT_MILLIS = 120;
-
   /** How long this process counts as cut off after the last check that found it so. */
   private static final long CUT_OFF_MILLIS = 1200;
 
@@ -58,9 +57,6 @@
   /** Receives the name of a pool whose primary is suspected to have failed, and the reason. */
   private final BiConsumer<String, String> primarySuspected;
 
-  /** Requests a floor of a database from other proxies. */
-  private final Consumer<Database> peerFloorRequests;
-
   /** The members by their identifiers. */
   private final Map<String, Member> members = new LinkedHashMap<>();
 
@@ -68,7 +64,7 @@
   private final PrimaryClaims claims = new PrimaryClaims();
 
   private final FloorHistory floors = new FloorHistory();
-  private final List<Runnable> floorWaiters = new ArrayList<>();
+  private final FloorRequests floorRequests;
 
   /**
    * Until when this process counts as cut off from the primary and most proxies, in nanoseconds of
@@ -76,12 +72,17 @@
    */
   private long cutOffUntil;
 
-  /** True while a request for the primary's log position is outstanding. */
-  private boolean positionRequested;
-
   /** The maximum number of connections to one member, over all proxies. */
   private int connectionLimit = DEFAULT_CONNECTION_LIMIT;
 
+  /** The number of replicas that hold a commit before the primary acknowledges it. */
+  private int confirmingReplicas;
+
+  private final DepartedReplicas departedReplicas = new DepartedReplicas();
+
+  /** Tells if a member has an entry in the directory; one whose entry ended stays for a while. */
+  private final Predicate<String> registered;
+
   /**
    * Creates a database without members.
    *
@@ -90,14 +91,17 @@
    *     and the reason.
    * @param peerFloorRequests Requests a floor of a database from other proxies; a floor that comes
    *     back is passed to {@link #onPeerFloor}.
+   * @param registered Tells by its identifier if a member has an entry in the directory.
    */
   public Database(
       MemberContext context,
       BiConsumer<String, String> primarySuspected,
-      Consumer<Database> peerFloorRequests) {
+      Consumer<Database> peerFloorRequests,
+      Predicate<String> registered) {
     this.context = context;
+    this.registered = registered;
     this.primarySuspected = primarySuspected;
-    this.peerFloorRequests = peerFloorRequests;
+    floorRequests = new FloorRequests(context.loop(), this, peerFloorRequests);
     cutOffUntil = context.loop().now();
   }
 
@@ -111,9 +115,36 @@
     return connectionLimit;
   }
 
-  /** Sets the maximum number of connections to one member, over all proxies. */
-  public void setConnectionLimit(int limit) {
-    connectionLimit = limit;
+  /** Applies the configuration of the pool. */
+  public void configure(DesiredState.PoolEntry configuration) {
+    connectionLimit = configuration.connections();
+    confirmingReplicas = configuration.confirmingReplicas();
+  }
+
+  /**
+   * Returns how many replicas must report their logs before one of them is promoted.
+   *
+   * <p>A replica counts as long as it may alone hold an acknowledged commit. One that announced its
+   * end and has gone does not, because its log was transferred to its successor.
+   */
+  public PromotionQuorum promotionQuorum() {
+    Optional<MemberConnectionPool> primary = claimedPrimary();
+    long replicas =
+        members.values().stream()
+            .filter(member -> primary.filter(member.pool::equals).isEmpty())
+            .map(member -> member.pool.entry())
+            .filter(entry -> !entry.draining() || registered.test(entry.id()))
+            .count();
+    return new PromotionQuorum((int) replicas + departedReplicas.count(), confirmingReplicas);
+  }
+
+  /**
+   * Records that the primary acknowledged a commit.
+   *
+   * @param sentAt When the commit was sent.
+   */
+  public void onCommitAcknowledged(ClockReading sentAt) {
+    departedReplicas.recordCommit(sentAt.monotonicNanos());
   }
 
   /**
@@ -123,7 +154,11 @@
    */
   public void put(MemberEntry entry) {
     Member known = members.get(entry.id());
+    departedReplicas.recordReturn(entry);
     boolean sameIncarnation = known != null && known.pool.entry().isSameIncarnation(entry);
+    if (known != null && !sameIncarnation) {
+      recordDeparture(known.pool);
+    }
     if (!entry.primary()) {
       claims.removeClaim(entry.id());
     } else if (!sameIncarnation || !known.pool.entry().primary()) {
@@ -152,11 +187,21 @@
 
   /** Removes a member; does nothing if it is not known. */
   public void remove(String id) {
-    Member known = members.remove(id);
-    claims.removeClaim(id);
+    Member known = members.get(id);
     if (known != null) {
+      recordDeparture(known.pool);
       known.pool.retire();
     }
+    members.remove(id);
+    claims.removeClaim(id);
+  }
+
+  /** Records the end of an incarnation, unless it is the primary or announced its end. */
+  private void recordDeparture(MemberConnectionPool pool) {
+    boolean primary = claimedPrimary().filter(pool::equals).isPresent();
+    if (!primary && !pool.entry().draining()) {
+      departedReplicas.recordDeparture(pool.entry(), context.loop().now());
+    }
   }
 
   /** Records that neither the primary nor enough other proxies respond to this process. */
@@ -233,6 +278,7 @@
     }
     member.notPrimaryUntil = context.loop().now();
     member.suspendedUntil = context.loop().now();
+    departedReplicas.recordPromotion();
     floors.observeTerm(term);
     context
         .log()
@@ -335,27 +381,10 @@
   /**
    * Requests a fresh floor and runs an action when it arrives or can't be obtained.
    *
-   * <p>All waiting actions share one empty transaction at the primary, which takes none of its
-   * statement slots. A floor is also requested from other proxies if no connection to the primary
-   * is idle.
-   *
    * @param action Run at the latest after the timeout; it has to check {@link #floors} itself.
    */
   public void awaitFloor(Runnable action) {
-    floorWaiters.add(action);
-    if (positionRequested) {
-      return;
-    }
-    Optional<MemberConnectionPool> primary = primary().filter(MemberConnectionPool::isReachable);
-    if (primary.isEmpty() || primary.get().counts().idle() == 0) {
-      peerFloorRequests.accept(this);
-    }
-    if (primary.isPresent()) {
-      positionRequested = true;
-      primary.get().requests().requestPosition(FLOOR_TIMEOUT_MILLIS, this::onPrimaryResponse);
-    } else {
-      context.loop().schedule(FLOOR_TIMEOUT_MILLIS, this::runFloorWaiters);
-    }
+    floorRequests.await(action);
   }
 
   /**
@@ -365,26 +394,7 @@
    */
   public void onPeerFloor(FloorHistory.Floor floor) {
     floors.add(floor.sentAt(), floor.position());
-    runFloorWaiters();
-  }
-
-  /**
-   * Handles the primary's response to the request for its log position.
-   *
-   * @param response Empty after a timeout.
-   */
-  private void onPrimaryResponse(Optional<MemberResponse> response) {
-    positionRequested = false;
-    if (response.isPresent() && response.get() instanceof MemberResponse.Done done) {
-      done.position().ifPresent(position -> addFloor(done.sentAt(), position));
-    }
-    runFloorWaiters();
-  }
-
-  private void runFloorWaiters() {
-    List<Runnable> waiters = List.copyOf(floorWaiters);
-    floorWaiters.clear();
-    waiters.forEach(Runnable::run);
+    floorRequests.runWaiting();
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
@@ -117,6 +117,11 @@
     return opened;
   }
 
+  /** Checks if the connection was opened and no statement uses it at present. */
+  boolean isUnused() {
+    return opened && !lent;
+  }
+
   /** Checks if the member holds exactly the values of a session, so that none has to be sent. */
   boolean hasValuesOf(SessionState session) {
     return values.equals(session.values());
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnectionPool.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnectionPool.java
@@ -170,6 +170,18 @@
     openIfNeeded();
   }
 
+  /**
+   * Lends a connection of this process that is opened now. The unused connections are closed, since
+   * they may have gone silent without a sign.
+   */
+  void borrowNew(Borrower borrower) {
+    List<DirectConnection> unused =
+        connections.stream().filter(DirectConnection::isUnused).toList();
+    unused.forEach(connection -> connection.abort("may have gone silent"));
+    borrowDirectly(borrower);
+    reconnect();
+  }
+
   /** Withdraws the request of a borrower that still waits for a connection. */
   public void cancel(Borrower borrower) {
     if (!context.connectionSharing().cancel(borrower)) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -70,7 +70,19 @@
    *     failure or sent a malformed report.
    */
   public void requestStatus(long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    requestReport(MemberConnection::requestStatus, timeoutMillis, result);
+    requestReport(pool::borrow, MemberConnection::requestStatus, timeoutMillis, result);
+  }
+
+  /**
+   * Requests the member's status over a connection that is opened for it, also if the member counts
+   * as unreachable.
+   *
+   * @param timeoutMillis The time to open the connection and to respond, in milliseconds.
+   * @param result Receives the report as for {@link #requestStatus}.
+   */
+  public void requestStatusOverNewConnection(
+      long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
+    requestReport(pool::borrowNew, MemberConnection::requestStatus, timeoutMillis, result);
   }
 
   /**
@@ -82,19 +94,21 @@
   public void requestStepDown(
       long term, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
     requestReport(
+        pool::borrow,
         (connection, receiver) -> connection.requestStepDown(term, receiver),
         timeoutMillis,
         result);
   }
 
   private void requestReport(
+      Consumer<Borrower> lender,
       BiConsumer<MemberConnection, Consumer<MemberResponse>> request,
       long timeoutMillis,
       Consumer<Optional<MemberStatusReport>> result) {
     new InternalRequest(
             context.loop(),
             pool,
-            pool::borrow,
+            lender,
             request,
             response ->
                 result.accept(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +11,7 @@
 import java.util.function.Supplier;
 import org.hickoryshed.decision.promotion.PrimaryFailureVote;
 import org.hickoryshed.decision.promotion.PromotionCandidate;
+import org.hickoryshed.decision.promotion.PromotionQuorum;
 import org.hickoryshed.session.eventlog.EventLog;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
@@ -45,9 +45,6 @@
    */
   private static final long PROBE_TIMEOUT_MILLIS = 160;
 
-  /** The time for a member to report its status, in milliseconds. */
-  private static final long STATUS_TIMEOUT_MILLIS = 150;
-
   /** The pause after a failover that ended without a promotion, in milliseconds. */
   private static final long NO_PROMOTION_PAUSE_MILLIS = 350;
 
@@ -326,40 +323,31 @@
 
   /** Asks all reachable members, a reachable primary included, for their status. */
   private void collectStatuses(PoolFailoverState failover) {
-    List<MemberConnectionPool> reachable =
-        databases.apply(failover.pool).stream()
-            .flatMap(database -> database.connectionPools().stream())
-            .filter(MemberConnectionPool::isReachable)
-            .toList();
-    if (reachable.isEmpty()) {
+    Optional<Database> database = databases.apply(failover.pool);
+    if (database.stream()
+        .flatMap(known -> known.connectionPools().stream())
+        .noneMatch(MemberConnectionPool::isReachable)) {
       keepPrimary(failover, "no member is reachable");
       return;
     }
-    Map<MemberConnectionPool, Optional<MemberStatusReport>> reports = new LinkedHashMap<>();
-    for (MemberConnectionPool pool : reachable) {
-      pool.requests()
-          .requestStatus(
-              STATUS_TIMEOUT_MILLIS,
-              report -> {
-                reports.put(pool, report);
-                if (reports.size() == reachable.size()) {
-                  onStatusesCollected(failover, reports);
-                }
-              });
-    }
+    new MemberStatusSurvey(database.get(), log())
+        .start(reports -> onStatusesCollected(failover, database.get(), reports));
   }
 
   /**
-   * Chooses the next step from the status of all reachable members.
+   * Chooses the next step from the status of the members.
    *
    * @param failover The failover.
-   * @param reports The status reports; empty for members that did not respond in time, whose last
-   *     known log position counts as received.
+   * @param reports The status reports; empty for members that did not respond in time. Their last
+   *     known log position counts as received if the primary acknowledges commits that no replica
+   *     holds; otherwise they can't be promoted.
    */
   private void onStatusesCollected(
-      PoolFailoverState failover, Map<MemberConnectionPool, Optional<MemberStatusReport>> reports) {
-    Optional<MemberConnectionPool> primary =
-        databases.apply(failover.pool).flatMap(Database::claimedPrimary);
+      PoolFailoverState failover,
+      Database database,
+      Map<MemberConnectionPool, Optional<MemberStatusReport>> reports) {
+    PromotionQuorum quorum = database.promotionQuorum();
+    Optional<MemberConnectionPool> primary = database.claimedPrimary();
     List<PromotionCandidate> candidates = new ArrayList<>();
     Optional<PrimaryFencing.Incumbent> incumbent = Optional.empty();
     for (Map.Entry<MemberConnectionPool, Optional<MemberStatusReport>> entry : reports.entrySet()) {
@@ -373,7 +361,8 @@
       }
       if (isPrimary) {
         incumbent = Optional.of(new PrimaryFencing.Incumbent(pool, report.get().term()));
-      } else if (primary.filter(pool::equals).isEmpty()) {
+      } else if (primary.filter(pool::equals).isEmpty()
+          && (report.isPresent() || !quorum.protectsCommits())) {
         candidates.add(
             new PromotionCandidate(
                 pool.entry().id(),
@@ -382,10 +371,15 @@
                 context.oneWayLatencyMillis(pool.entry().domain())));
       }
     }
-    if (candidates.isEmpty()) {
+    if (!quorum.isReachedBy(candidates.size())) {
+      keepPrimary(
+          failover,
+          "only %d of %d replicas reported their logs, %d are needed"
+              .formatted(candidates.size(), quorum.replicas(), quorum.requiredReports()));
+    } else if (candidates.isEmpty()) {
       keepPrimary(failover, "no other member to promote is reachable");
     } else {
-      promoteBest(failover, candidates, incumbent);
+      promoteBest(failover, quorum, candidates, incumbent);
     }
   }
 
@@ -393,14 +387,20 @@
    * Requests the promotion of the best candidate.
    *
    * @param failover The failover.
+   * @param quorum Tells if the primary acknowledges commits only once replicas hold them.
    * @param candidates The members that may be promoted, at least one.
    * @param incumbent The leaving primary, empty if no reachable member is the primary.
    */
   private void promoteBest(
       PoolFailoverState failover,
+      PromotionQuorum quorum,
       List<PromotionCandidate> candidates,
       Optional<PrimaryFencing.Incumbent> incumbent) {
-    PromotionCandidate chosen = PromotionCandidate.choose(candidates).orElseThrow();
+    Optional<PromotionCandidate> best =
+        quorum.protectsCommits()
+            ? PromotionCandidate.chooseWithLatestLog(candidates)
+            : PromotionCandidate.choose(candidates);
+    PromotionCandidate chosen = best.orElseThrow();
     failover.stage = PoolFailoverState.Stage.PROMOTING;
     log()
         .event("takeover-decided")
