Promote a replica only once it holds what was acknowledged

Cause: the member was chosen by one status each, and the promotion took effect some 300 ms later. Meanwhile the proxies wrote on, the primary acknowledged what the nearest replica had confirmed, and the chosen one had not received the last of it. Ruled out: lost or late statuses, as all members reported, and the fence, as the old primary committed nothing after the promotion.

Why it works: between record and request, all proxies stop using the primary, and 100 ms later they report its successes as unknown. What was acknowledged until then is in the primary's log and in those of the replicas that confirmed it, so a member that holds all that the others report holds it. A member that does not in time is not promoted.

Related paths: the same preparation precedes unplanned promotions and each repetition of a request without an answer. Databases whose primary waits for no replica are replaced as before. The callback of the coordinator's tests now returns that the promotion may be requested; their assertions are unchanged.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/topology/LogPosition.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/topology/LogPosition.java
@@ -34,4 +34,15 @@
   public LogPosition merge(LogPosition other) {
     return new LogPosition(Math.max(term, other.term), Math.max(index, other.index));
   }
+
+  /**
+   * Checks whether a log that ends at this position is older than one that ends at another. A log
+   * of an earlier term is, however long.
+   *
+   * @param other The end of the other log.
+   * @return {@code true} if the other log may hold entries that this one lacks.
+   */
+  public boolean isBehind(LogPosition other) {
+    return term < other.term || (term == other.term && index < other.index);
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -47,8 +47,11 @@
   /** How long this process counts as cut off after the last check that found it so. */
   private static final long CUT_OFF_MILLIS = 1200;
 
-  /** The least time from the record of a promotion until it takes effect, in milliseconds. */
-  private static final long MIN_PROMOTION_MILLIS = 100;
+  /**
+   * The least time from the record of a promotion until it takes effect, in milliseconds. A success
+   * of the replaced primary that arrives later is not passed on.
+   */
+  public static final long MIN_PROMOTION_MILLIS = 100;
 
   private static final long NANOS_PER_MILLI = 1_000_000;
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
@@ -9,7 +9,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import org.hickoryshed.session.eventlog.EventLog;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
 import org.hickoryshed.session.wire.MemberStatusReport;
@@ -32,15 +31,12 @@
 
   private final Database database;
 
-  private final EventLog log;
-
   /** The reports so far, empty for members that did not respond in time. */
   private final Map<MemberConnectionPool, Optional<MemberStatusReport>> reports =
       new LinkedHashMap<>();
 
-  MemberStatusSurvey(Database database, EventLog log) {
+  MemberStatusSurvey(Database database) {
     this.database = database;
-    this.log = log;
   }
 
   /**
@@ -66,14 +62,14 @@
     List<MemberConnectionPool> missing =
         replicas.stream().filter(member -> !hasReported(member)).toList();
     if (database.promotionQuorum().isReachedBy(replicas.size() - missing.size())) {
-      finish(result);
+      result.accept(reports);
       return;
     }
     ask(
         missing,
         (member, report) ->
             member.requests().requestStatusOverNewConnection(NEW_CONNECTION_TIMEOUT_MILLIS, report),
-        () -> finish(result));
+        () -> result.accept(reports));
   }
 
   private boolean hasReported(MemberConnectionPool member) {
@@ -103,24 +99,11 @@
     }
   }
 
-  private void finish(Consumer<Map<MemberConnectionPool, Optional<MemberStatusReport>>> result) {
-    logReports();
-    result.accept(reports);
-  }
-
-  private void logReports() {
-    String text =
-        reports.entrySet().stream()
-            .map(entry -> entry.getKey().entry().id() + "=" + describe(entry.getValue()))
-            .collect(Collectors.joining(" "));
-    reports.keySet().stream()
-        .findFirst()
-        .ifPresent(
-            member ->
-                log.event("member-statuses")
-                    .with("pool", member.entry().pool())
-                    .with("reports", text)
-                    .write());
+  /** Describes reports for the log. */
+  static String describe(Map<MemberConnectionPool, Optional<MemberStatusReport>> reports) {
+    return reports.entrySet().stream()
+        .map(entry -> entry.getKey().entry().id() + "=" + describe(entry.getValue()))
+        .collect(Collectors.joining(" "));
   }
 
   private static String describe(Optional<MemberStatusReport> report) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
@@ -8,10 +8,12 @@
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
- * Keeps a replaced primary from running statements where the platform does not fence it.
+ * Keeps a replaced primary from running statements where the platform does not fence it, and one
+ * that is about to be replaced from acknowledging commits that its successor may lack.
  *
- * <p>There, a primary that was replaced goes on as one until it is told to step down or learns of
- * the new term. A write that it still commits is lost. Three measures prevent that:
+ * <p>Without fencing by the platform, a primary that was replaced goes on as one until it is told
+ * to step down or learns of the new term. A write that it still commits is lost. Three measures
+ * prevent that:
  *
  * <ul>
  *   <li>As soon as a promotion is recorded, all proxies stop using the current primary.
@@ -21,8 +23,8 @@
  *       step down when it is reachable again.
  * </ul>
  *
- * <p>All methods run on the event loop and have no effect if the platform fences replaced
- * primaries.
+ * <p>All methods run on the event loop. Unless they say otherwise, they have no effect if the
+ * platform fences replaced primaries.
  */
 final class PrimaryFencing {
 
@@ -53,20 +55,23 @@
   /**
    * Stops the use of the current primary, because a promotion of another member was recorded.
    *
+   * <p>Where replicas confirm commits, this has an effect also if the platform fences replaced
+   * primaries: what the current primary still acknowledges may be confirmed by a replica that is
+   * not the one to be promoted.
+   *
    * @param pool The name of the pool.
    * @param member The identifier of the member that is to be promoted.
    */
   void onPromotionRecorded(String pool, String member) {
-    if (!context.fencedByPlatform().getAsBoolean()) {
-      databases
-          .apply(pool)
-          .ifPresent(database -> database.suspendPrimaryUnless(member, SUSPENSION_MILLIS));
-    }
+    databases
+        .apply(pool)
+        .filter(database -> !isFenced() || database.promotionQuorum().protectsCommits())
+        .ifPresent(database -> database.suspendPrimaryUnless(member, SUSPENSION_MILLIS));
   }
 
   /** Tells a leaving primary to step down, because a promotion may take effect from now on. */
   void depose(Incumbent incumbent) {
-    if (!context.fencedByPlatform().getAsBoolean()) {
+    if (!isFenced()) {
       requestStepDown(incumbent.pool, incumbent.term + 1);
     }
   }
@@ -76,7 +81,7 @@
    * proved a later term. Called periodically.
    */
   void deposeReplacedPrimaries(Database database) {
-    if (context.fencedByPlatform().getAsBoolean() || database.provenTerm().isEmpty()) {
+    if (isFenced() || database.provenTerm().isEmpty()) {
       return;
     }
     Optional<MemberConnectionPool> primary = database.claimedPrimary();
@@ -86,6 +91,10 @@
         .forEach(pool -> requestStepDown(pool, database.provenTerm().getAsLong()));
   }
 
+  private boolean isFenced() {
+    return context.fencedByPlatform().getAsBoolean();
+  }
+
   private void requestStepDown(MemberConnectionPool pool, long term) {
     pool.requests()
         .requestStepDown(term, STEP_DOWN_TIMEOUT_MILLIS, report -> logStepDown(pool, term, report));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -12,6 +12,7 @@
 import org.hickoryshed.decision.promotion.PrimaryFailureVote;
 import org.hickoryshed.decision.promotion.PromotionCandidate;
 import org.hickoryshed.decision.promotion.PromotionQuorum;
+import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.eventlog.EventLog;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
@@ -78,6 +79,8 @@
 
   private final PrimaryFencing fencing;
 
+  private final PromotionPreparation preparation;
+
   /** The failover state of each pool by its name. */
   private final Map<String, PoolFailoverState> failovers = new HashMap<>();
 
@@ -102,6 +105,7 @@
     this.databases = databases;
     announcer = new PrimaryAnnouncer(context, peers, databases);
     fencing = new PrimaryFencing(context, databases);
+    preparation = new PromotionPreparation(context, databases);
   }
 
   /**
@@ -330,7 +334,7 @@
       keepPrimary(failover, "no member is reachable");
       return;
     }
-    new MemberStatusSurvey(database.get(), log())
+    new MemberStatusSurvey(database.get())
         .start(reports -> onStatusesCollected(failover, database.get(), reports));
   }
 
@@ -346,6 +350,11 @@
       PoolFailoverState failover,
       Database database,
       Map<MemberConnectionPool, Optional<MemberStatusReport>> reports) {
+    log()
+        .event("member-statuses")
+        .with("pool", failover.pool)
+        .with("reports", MemberStatusSurvey.describe(reports))
+        .write();
     PromotionQuorum quorum = database.promotionQuorum();
     Optional<MemberConnectionPool> primary = database.claimedPrimary();
     List<PromotionCandidate> candidates = new ArrayList<>();
@@ -366,7 +375,7 @@
         candidates.add(
             new PromotionCandidate(
                 pool.entry().id(),
-                report.map(MemberStatusReport::received).orElse(pool.position()),
+                report.map(known -> logEnd(quorum, known)).orElse(pool.position()),
                 !pool.entry().draining(),
                 context.oneWayLatencyMillis(pool.entry().domain())));
       }
@@ -383,6 +392,10 @@
     }
   }
 
+  private static LogPosition logEnd(PromotionQuorum quorum, MemberStatusReport report) {
+    return quorum.protectsCommits() ? report.end() : report.received();
+  }
+
   /**
    * Requests the promotion of the best candidate.
    *
@@ -415,7 +428,7 @@
             failover.pool,
             chosen.member(),
             failover.reason,
-            () -> loop().submit(() -> onPromotionRecorded(failover.pool, chosen.member())),
+            () -> prepare(failover.pool, chosen.member(), quorum.protectsCommits()),
             () -> loop().submit(() -> incumbent.ifPresent(fencing::depose)),
             result -> loop().submit(() -> onPromotionResult(failover, chosen.member(), result)));
     if (!queued) {
@@ -423,8 +436,22 @@
     }
   }
 
-  /** Tells the other proxies that this one recorded a promotion and is about to request it. */
-  private void onPromotionRecorded(String pool, String member) {
+  /**
+   * Tells the proxies that a promotion is recorded; where replicas confirm commits, waits until it
+   * may be requested. Called on the thread of the coordinator.
+   *
+   * @return {@code false} if the promotion must not be requested.
+   */
+  private boolean prepare(String pool, String member, boolean protectsCommits) {
+    Runnable announcement = () -> announcePromotion(pool, member);
+    if (protectsCommits) {
+      return preparation.prepare(pool, member, announcement);
+    }
+    loop().submit(announcement);
+    return true;
+  }
+
+  private void announcePromotion(String pool, String member) {
     announcer.broadcast(new PeerMessage.PromotionRecorded(pool, member));
     fencing.onPromotionRecorded(pool, member);
   }
@@ -439,7 +466,8 @@
         announcer.awaitPrimary(failover.pool, member);
       }
       case UNKNOWN -> failover.pause(loop().now(), UNKNOWN_RESULT_PAUSE_MILLIS);
-      case REFUSED, NOT_HOLDER -> failover.pause(loop().now(), NO_PROMOTION_PAUSE_MILLIS);
+      case REFUSED, NOT_HOLDER, NOT_PREPARED ->
+          failover.pause(loop().now(), NO_PROMOTION_PAUSE_MILLIS);
     }
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.hickoryshed.decision.freshness.ClockReading;
@@ -119,8 +120,8 @@
    * @param pool The name of the pool.
    * @param member The identifier of the member to promote.
    * @param reason Why the primary is replaced, for the log.
-   * @param recorded Called on the worker thread each time an intent is recorded, before the
-   *     promotion service is called.
+   * @param preparation Called on the worker thread each time an intent is recorded, before the
+   *     promotion service is called; returns whether it may be called.
    * @param mayTakeEffect Called on the worker thread each time the promotion service has accepted a
    *     request or may have done so; the member becomes the primary some time after that.
    * @param result Receives the result on the worker thread.
@@ -130,11 +131,11 @@
       String pool,
       String member,
       String reason,
-      Runnable recorded,
+      BooleanSupplier preparation,
       Runnable mayTakeEffect,
       Consumer<PromotionResult> result) {
     return worker.offer(
-        () -> result.accept(promoteNow(pool, member, reason, recorded, mayTakeEffect)));
+        () -> result.accept(promoteNow(pool, member, reason, preparation, mayTakeEffect)));
   }
 
   /**
@@ -151,7 +152,11 @@
    * arrives, or if this process paused between the two.
    */
   PromotionResult promoteNow(
-      String pool, String member, String reason, Runnable recorded, Runnable mayTakeEffect) {
+      String pool,
+      String member,
+      String reason,
+      BooleanSupplier preparation,
+      Runnable mayTakeEffect) {
     PromotionResult result = PromotionResult.NOT_HOLDER;
     for (Duration timeout : RESPONSE_TIMEOUTS) {
       ClockReading before = clock.read();
@@ -159,15 +164,16 @@
       if (intent.isEmpty()) {
         return result;
       }
-      if (clock.read().millisSince(before) > MAX_REQUEST_DELAY.toMillis()) {
-        log.event("takeover-not-ordered")
-            .with("pool", pool)
-            .with("generation", intent.get().generation())
-            .with("reason", "the record took too long")
-            .write();
+      if (isTooLate(before, pool, intent.get(), "the record took too long")) {
+        continue;
+      }
+      if (!preparation.getAsBoolean()) {
+        logNotRequested(pool, intent.get(), "the member does not hold all commits");
+        return result == PromotionResult.NOT_HOLDER ? PromotionResult.NOT_PREPARED : result;
+      }
+      if (isTooLate(before, pool, intent.get(), "the preparation took too long")) {
         continue;
       }
-      recorded.run();
       result = sendRequest(pool, intent.get(), reason, timeout);
       if (result == PromotionResult.REFUSED) {
         return result;
@@ -180,6 +186,24 @@
     return result;
   }
 
+  /** Checks if a promotion must not be requested any more under a record, and logs it. */
+  private boolean isTooLate(
+      ClockReading before, String pool, PromotionRecord record, String reason) {
+    boolean tooLate = clock.read().millisSince(before) > MAX_REQUEST_DELAY.toMillis();
+    if (tooLate) {
+      logNotRequested(pool, record, reason);
+    }
+    return tooLate;
+  }
+
+  private void logNotRequested(String pool, PromotionRecord record, String reason) {
+    log.event("takeover-not-ordered")
+        .with("pool", pool)
+        .with("generation", record.generation())
+        .with("reason", reason)
+        .write();
+  }
+
   private PromotionResult sendRequest(
       String pool, PromotionRecord record, String reason, Duration timeout) {
     PromotionService.Outcome outcome = promotions.promote(pool, record, timeout);
@@ -273,7 +297,9 @@
     /** No response arrived; the promotion may still take effect later. */
     UNKNOWN,
     /** Another proxy may request promotions for now, or the record could not be written. */
-    NOT_HOLDER
+    NOT_HOLDER,
+    /** The member might lack acknowledged commits, so nothing was requested. */
+    NOT_PREPARED
   }
 
   /** Runs the queued requests on the worker thread. */
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/MemberStatusReport.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/MemberStatusReport.java
@@ -9,4 +9,13 @@
  * @param term The term that the member is in.
  * @param received The last log position that the member received.
  */
-public record MemberStatusReport(boolean primary, long term, LogPosition received) {}
+public record MemberStatusReport(boolean primary, long term, LogPosition received) {
+
+  /**
+   * Returns the end of the member's log in the term that it is in. The member may have entered that
+   * term without an entry of it, which its received position does not tell.
+   */
+  public LogPosition end() {
+    return new LogPosition(Math.max(term, received.term()), received.index());
+  }
+}
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
@@ -31,7 +31,7 @@
 
   @Test
   void recordsIntentBeforeRequestingPromotion() {
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(records.records.get(POOL)).isEqualTo(promotions.requests.get(0));
   }
@@ -40,15 +40,15 @@
   void requestsNoPromotionWithoutRecord() {
     records.responseIsLost = true;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(promotions.requests).isEmpty();
   }
 
   @Test
   void usesNewGenerationForEachPromotion() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> true, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -56,9 +56,9 @@
   @Test
   void usesNewGenerationAfterRequestWithoutResponse() {
     promotions.outcome = new PromotionService.Outcome.Unknown("lost");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.UNKNOWN);
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L, 3L, 4L, 5L, 6L);
   }
@@ -67,7 +67,7 @@
   void repeatsRequestAtOnceWithoutResponse() {
     promotions.lostResponses = 2;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L, 3L);
     assertThat(records.records.get(POOL).generation()).isEqualTo(3);
@@ -82,7 +82,7 @@
           records.revisions.merge(POOL, 1L, Long::sum);
         };
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.UNKNOWN);
     assertThat(generations()).containsExactly(1L);
   }
@@ -90,9 +90,9 @@
   @Test
   void usesNewGenerationAfterRefusal() {
     promotions.outcome = new PromotionService.Outcome.Refused("test");
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.REFUSED);
-    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> true, () -> {});
 
     assertThat(generations()).containsExactly(1L, 2L);
   }
@@ -100,9 +100,9 @@
   @Test
   void usesNewGenerationWhenWriteSucceededWithoutResponse() {
     records.responseIsLost = true;
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
     records.responseIsLost = false;
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
 
     assertThat(generations()).containsExactly(2L);
@@ -110,31 +110,31 @@
 
   @Test
   void requestsNoPromotionSoonAfterAnotherProxy() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(generations()).containsExactly(1L);
   }
 
   @Test
   void requestsPromotionOnceExclusivePeriodOfAnotherProxyEnded() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     millis += 4_001;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(1L, 2L);
   }
 
   @Test
   void usesNoGenerationTwiceWhenTwoProxiesRace() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
     millis += 60_000;
-    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> {}, () -> {});
-    first.promoteNow(POOL, "m3", "test", () -> {}, () -> {});
+    records.beforeWrite = () -> second.promoteNow(POOL, "m3", "race", () -> true, () -> {});
+    first.promoteNow(POOL, "m3", "test", () -> true, () -> {});
 
     assertThat(generations()).doesNotHaveDuplicates();
   }
@@ -144,10 +144,10 @@
     records.afterWrite =
         () -> {
           millis += 20_000;
-          second.promoteNow(POOL, "m3", "the holder is frozen", () -> {}, () -> {});
+          second.promoteNow(POOL, "m3", "the holder is frozen", () -> true, () -> {});
         };
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
     assertThat(generations()).containsExactly(2L);
   }
@@ -156,47 +156,47 @@
   void requestsPromotionUnderNextGenerationAfterPause() {
     records.afterWrite = () -> millis += 20_000;
 
-    assertThat(first.promoteNow(POOL, "m2", "test", () -> {}, () -> {}))
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
     assertThat(generations()).containsExactly(2L);
   }
 
   @Test
   void requestsNoPromotionSoonAfterAnotherProxyWhenOwnClockJumps() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
     clockStepMillis = 2_400_000;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
   }
 
   @Test
   void requestsNoPromotionSoonAfterAnotherProxyWhoseClockJumped() {
     clockStepMillis = -2_400_000;
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
     clockStepMillis = 0;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
   }
 
   @Test
   void requestsNoPromotionSoonAfterAnnouncementWhateverTheRecordSays() {
     clockStepMillis = -2_400_000;
-    coordinator("started with a wrong clock").promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    coordinator("started with a wrong clock").promoteNow(POOL, "m2", "test", () -> true, () -> {});
     clockStepMillis = 0;
     second.onPromotionAnnounced(POOL);
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.NOT_HOLDER);
   }
 
   @Test
   void requestsPromotionAfterOldRecordThatItReadsForTheFirstTime() {
-    first.promoteNow(POOL, "m2", "test", () -> {}, () -> {});
+    first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
     millis += 10_001;
 
-    assertThat(second.promoteNow(POOL, "m3", "test", () -> {}, () -> {}))
+    assertThat(second.promoteNow(POOL, "m3", "test", () -> true, () -> {}))
         .isEqualTo(PromotionResult.ACCEPTED);
   }
 
