Read at the primary after a commit whose position is missing

Cause: a member acknowledges a commit before it tells its log position. If the connection ends between the two, the success has no position, and the session went on as if it had committed nothing.

Evidence: with replicas that lack the last commit and a response cut behind its outcome, the read returns the value before the write.

Why it works: a missing position is kept apart from no commit. Until a response of the primary, which was sent after the commit, tells a position, no replica can show that it holds the commit, so the reads that must see it run at the primary.

Related paths: writes, commits of transactions, read-only transactions, relayed statements, and members that send no position.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/CallerSession.java
@@ -9,7 +9,6 @@
 import org.hickoryshed.decision.statement.FailureKind;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.statement.TransactionState;
-import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.member.SessionState;
 import org.hickoryshed.session.net.Connection;
 import org.hickoryshed.session.net.EventLoop;
@@ -64,8 +63,7 @@
   /** True if the session is to be closed as soon as it is idle. */
   private boolean closeRequested;
 
-  /** The log position of the session's last commit, which read-your-writes reads must see. */
-  private Optional<LogPosition> lastCommit = Optional.empty();
+  private final SessionCommits commits = new SessionCommits();
 
   /** Rolls the transaction back if the caller leaves it idle. */
   private Optional<EventLoop.Timer> idleTimer = Optional.empty();
@@ -180,22 +178,9 @@
     return sessionState;
   }
 
-  /**
-   * Returns the log position of this session's last commit.
-   *
-   * @return The position, empty if the session has committed nothing.
-   */
-  Optional<LogPosition> lastCommit() {
-    return lastCommit;
-  }
-
-  /**
-   * Records a commit of this session.
-   *
-   * @param position A log position that covers the commit.
-   */
-  void recordCommit(LogPosition position) {
-    lastCommit = Optional.of(position);
+  /** Returns what the reads of this session must see of its own commits; not a copy. */
+  SessionCommits commits() {
+    return commits;
   }
 
   /**
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementContext.java
@@ -123,11 +123,16 @@
   /**
    * Checks if a replica whose log is fresh enough may run the statement.
    *
-   * @return {@code false} if only the primary may run it.
+   * @return {@code false} if only the primary may run it, also because it alone is known to hold a
+   *     commit that the statement must see.
    */
   boolean mayRunOnReplica() {
     return transaction.map(Transaction::readOnly).orElse(access == Access.READ)
-        && route.freshness() != DatabaseRoute.Freshness.PRIMARY;
+        && switch (route.freshness()) {
+          case PRIMARY -> false;
+          case BOUNDED_AGE -> true;
+          case READ_YOUR_WRITES -> !session.commits().isPositionMissing();
+        };
   }
 
   /**
@@ -144,17 +149,18 @@
     ClockReading firstArrival = transaction.map(Transaction::arrival).orElse(arrival);
     Optional<LogPosition> lastCommit =
         route.freshness() == DatabaseRoute.Freshness.READ_YOUR_WRITES
-            ? session.lastCommit()
+            ? session.commits().position()
             : Optional.empty();
     return database.floors().requiredPosition(firstArrival, route.maximumAgeMillis(), lastCommit);
   }
 
   /**
-   * Records the log position of a successful response.
+   * Records a successful response and its log position, which it lacks if the connection ended
+   * behind the outcome.
    *
    * <p>If the response proves that the member is the primary, its position becomes a floor of the
-   * database and the member is recorded as the primary. A position that covers a commit becomes the
-   * last commit of the session.
+   * database and the member is recorded as the primary. What the response made durable becomes a
+   * commit of the session.
    *
    * @param done The response.
    * @param sentToPrimary {@code true} if the statement was sent to the member because it is the
@@ -167,28 +173,34 @@
       boolean sentToPrimary,
       Optional<MemberConnectionPool> member,
       Optional<Database> database) {
-    if (done.position().isEmpty()) {
-      return;
-    }
-    LogPosition position = done.position().get();
     boolean committed = makesWritesDurable();
+    if (committed) {
+      database.ifPresent(known -> known.onCommitAcknowledged(done.sentAt()));
+      session.commits().recordCommit(done.position());
+    }
     boolean provesPrimary =
         committed
             || (!isCommit() && transaction.map(Transaction::provesPrimary).orElse(sentToPrimary));
     if (provesPrimary) {
-      database.ifPresent(known -> known.addFloor(done.sentAt(), position));
-      member.ifPresent(
-          primary ->
-              database.ifPresent(
-                  known ->
-                      known.recordPrimary(primary.entry().id(), position.term(), "its response")));
-    }
-    if (committed) {
-      database.ifPresent(known -> known.onCommitAcknowledged(done.sentAt()));
-      session.recordCommit(position);
+      done.position()
+          .ifPresent(position -> recordPrimary(done.sentAt(), position, member, database));
     }
   }
 
+  private void recordPrimary(
+      ClockReading sentAt,
+      LogPosition position,
+      Optional<MemberConnectionPool> member,
+      Optional<Database> database) {
+    session.commits().recordPrimaryPosition(position);
+    database.ifPresent(known -> known.addFloor(sentAt, position));
+    member.ifPresent(
+        primary ->
+            database.ifPresent(
+                known ->
+                    known.recordPrimary(primary.entry().id(), position.term(), "its response")));
+  }
+
   /**
    * Applies the session's values to a connection and prepares the statement there, if it executes a
    * prepared one.
