--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/FailureTexts.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/FailureTexts.java
@@ -15,6 +15,9 @@
   /** Of a statement that was sent, but whose response this process can't await any more. */
   static final String STOPPED = "this proxy stopped before the response";
 
+  /** Of a statement of a transaction whose primary is about to be replaced. */
+  static final String PRIMARY_LEAVES = "the primary is being replaced";
+
   /** Of a write that a primary committed after it may have been replaced. */
   static final String PRIMARY_REPLACED = "the primary was being replaced when it committed";
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/caller/StatementExecution.java
@@ -114,7 +114,7 @@
       if (bound.get().isClosed()) {
         onResponseLost("the connection of the transaction ended");
       } else if (statement.isAtSuspendedPrimary(bound.get().pool(), database())) {
-        fail(statement.failureWithoutResponse(false), "the primary is being replaced");
+        fail(statement.failureWithoutResponse(false), FailureTexts.PRIMARY_LEAVES);
       } else {
         send(Optional.empty());
       }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -326,11 +326,9 @@
    * @param pool The connections to the member.
    */
   public boolean mayHaveBeenReplaced(MemberConnectionPool pool) {
-    Member member = members.get(pool.entry().id());
-    long now = context.loop().now();
-    return member != null
-        && member.suspendedUntil - now > 0
-        && now - member.suspendedSince > MIN_PROMOTION_MILLIS * NANOS_PER_MILLI;
+    return isSuspended(pool)
+        && context.loop().now() - members.get(pool.entry().id()).suspendedSince
+            > MIN_PROMOTION_MILLIS * NANOS_PER_MILLI;
   }
 
   /** Returns the members that claim to be the primary, or proved it, the latest one first. */
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionPreparation.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionPreparation.java
@@ -31,6 +31,11 @@
    */
   private static final long SETTLE_MILLIS = Database.MIN_PROMOTION_MILLIS + 50;
 
+  /** How often a promotion is announced, since datagrams get lost. */
+  private static final int ANNOUNCEMENTS = 3;
+
+  private static final long ANNOUNCEMENT_INTERVAL_MILLIS = 20;
+
   /** The pause between two surveys of the members, in milliseconds. */
   private static final long SURVEY_INTERVAL_MILLIS = 10;
 
@@ -72,9 +77,7 @@
             .loop()
             .submit(
                 () -> {
-                  announce.run();
-                  // Datagrams get lost, so each proxy is told twice.
-                  announce.run();
+                  announceRepeatedly(announce, ANNOUNCEMENTS);
                   settle(pool, member, prepared);
                 });
     return submitted && await(prepared);
@@ -91,6 +94,15 @@
     }
   }
 
+  private void announceRepeatedly(Runnable announce, int times) {
+    announce.run();
+    if (times > 1) {
+      context
+          .loop()
+          .schedule(ANNOUNCEMENT_INTERVAL_MILLIS, () -> announceRepeatedly(announce, times - 1));
+    }
+  }
+
   /** Waits until the announcement has its effect, then looks at the logs of the members. */
   private void settle(String pool, String member, CompletableFuture<Boolean> prepared) {
     Optional<Database> database = databases.apply(pool);
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/promotion/PromotionCoordinatorTest.java
@@ -9,6 +9,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.hickoryshed.session.eventlog.EventLog;
 import org.hickoryshed.session.promotion.PromotionCoordinator.PromotionResult;
 import org.junit.jupiter.api.Test;
@@ -161,6 +163,27 @@
     assertThat(generations()).containsExactly(2L);
   }
 
+  @Test
+  void requestsNothingForMemberThatIsNotPrepared() {
+    assertThat(first.promoteNow(POOL, "m2", "test", () -> false, () -> {}))
+        .isEqualTo(PromotionResult.NOT_PREPARED);
+    assertThat(promotions.requests).isEmpty();
+  }
+
+  @Test
+  void requestsPromotionUnderNextGenerationAfterPauseOfPreparation() {
+    AtomicInteger preparations = new AtomicInteger();
+    BooleanSupplier preparation =
+        () -> {
+          millis += preparations.getAndIncrement() == 0 ? 20_000 : 0;
+          return true;
+        };
+
+    assertThat(first.promoteNow(POOL, "m2", "test", preparation, () -> {}))
+        .isEqualTo(PromotionResult.ACCEPTED);
+    assertThat(generations()).containsExactly(2L);
+  }
+
   @Test
   void requestsNoPromotionSoonAfterAnotherProxyWhenOwnClockJumps() {
     first.promoteNow(POOL, "m2", "test", () -> true, () -> {});
