Promote nobody in a pool whose configuration is not known

Cause: until a proxy has received the desired state, it took a pool as one whose replicas confirm nothing. A proxy that learned the members first, as after a start, promoted by the reports that came.

Evidence: ConfirmedCommitTest#promotesNoReplicaWhileTheConfigurationIsUnknown is red before (a replica that lacks commits is promoted) and green after.

Why it works: what a promotion has to protect is known with the configuration only; the failover is tried again after its usual pause. A pool that the desired state never named is not failed over any more.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -78,6 +78,9 @@
   /** The maximum number of connections to one member, over all proxies. */
   private int connectionLimit = DEFAULT_CONNECTION_LIMIT;
 
+  /** True once the configuration of the pool was received. */
+  private boolean configured;
+
   /** The number of replicas that hold a commit before the primary acknowledges it. */
   private int confirmingReplicas;
 
@@ -120,12 +123,21 @@
 
   /** Applies the configuration of the pool. */
   public void configure(DesiredState.PoolEntry configuration) {
+    configured = true;
     connectionLimit = configuration.connections();
     confirmingReplicas = configuration.confirmingReplicas();
   }
 
   /**
-   * Returns how many replicas must report their logs before one of them is promoted.
+   * Checks if the configuration of the pool is known, and with it what a promotion has to protect.
+   */
+  public boolean isConfigured() {
+    return configured;
+  }
+
+  /**
+   * Returns how many replicas must report their logs before one of them is promoted. It is valid
+   * only once the pool {@link #isConfigured() is configured}.
    *
    * <p>A replica counts as long as it may alone hold an acknowledged commit. One that announced its
    * end and has gone does not, because its log was transferred to its successor.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -334,6 +334,10 @@
       keepPrimary(failover, "no member is reachable");
       return;
     }
+    if (!database.get().isConfigured()) {
+      keepPrimary(failover, "the configuration of the pool is not known");
+      return;
+    }
     new MemberStatusSurvey(database.get())
         .start(reports -> onStatusesCollected(failover, database.get(), reports));
   }
