--- a/review/standins-2/Database.java
+++ b/review/standins-2/Database.java
@@ -171,6 +171,7 @@
     return members.values().stream()
         .filter(replica -> replica != primary && replica.running)
         .filter(replica -> replica.entries.size() >= size)
+        .filter(replica -> replica.entries.get(size - 1) == primary.entries.get(size - 1))
         .count();
   }
 
