--- a/review/7/run.sh
+++ /dev/null
@@ -1,6 +0,0 @@
-#!/usr/bin/env bash
-# Runs the case; see claim.txt. Exit status: 1 broken, 0 held, 2 not run. TROUBLE=0: no disruption.
-cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
-JAVA_HOME=$(bin/find-jdk) || exit 2
-[ -e target/review-2/OddEntriesAtRestart.class ] && [ -e target/runtime/bin/java ] || exit 2
-exec "$JAVA_HOME/bin/java" -cp "target/review-2:target/app/*" OddEntriesAtRestart review/7/record.txt
