--- a/review/standins-2/Database.java
+++ b/review/standins-2/Database.java
@@ -93,10 +93,9 @@
     Member before = primary;
     term++;
     primary = member;
-    Set<String> values = new java.util.HashSet<>();
-    member.entries.forEach(entry -> values.add(entry.value));
-    log.line("member " + member.id + " leads term " + term + ", log " + member.position());
-    onLead.accept(member.id, values);
+    log.line("member " + member.id + " leads term " + term + ", log " + member.position()
+        + (before == null ? "" : ", log of " + before.id + " " + before.position()));
+    onLead.accept(member.id, values());
     for (Member other : members.values()) {
       if (other != member && other.running) {
         catchUp(other);
@@ -136,8 +135,11 @@
     notifyAll();
   }
 
-  synchronized boolean isIn(String id, String value) {
-    return members.get(id).entries.stream().anyMatch(entry -> entry.value.equals(value));
+  /** Returns the values in the log of the primary. */
+  synchronized Set<String> values() {
+    Set<String> values = new java.util.HashSet<>();
+    primary.entries.forEach(entry -> values.add(entry.value));
+    return values;
   }
 
   /** Appends writes to the log of the primary and waits for the replicas that confirm them. */
--- a/review/standins-2/Platform.java
+++ b/review/standins-2/Platform.java
@@ -42,6 +42,9 @@
   /** The status with which the promotion service refuses all calls, zero while it serves them. */
   volatile int promotionRefusal;
 
+  /** The links between the proxies, null if they reach each other directly. */
+  volatile Links links;
+
   /** Promotes a member of a service; false if the member does not run. */
   volatile BiPredicate<String, String> promoter = (service, member) -> false;
 
@@ -147,12 +150,26 @@
         more = true;
         break;
       }
-      items.add(object);
+      items.add(kind.equals("proxies") && links != null ? behindLink(object) : object);
     }
     response.put("HasMore", more).put("StoreRevision", revision);
     return new Answer(200, response);
   }
 
+  /** Replaces the address that a proxy registered by that of the link to it. */
+  private ObjectNode behindLink(ObjectNode registered) {
+    String address = registered.path("spec").path("address").asText();
+    int colon = address.indexOf(':');
+    InetSocketAddress front =
+        links.front(
+            new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))));
+    ObjectNode shown = registered.deepCopy();
+    ((ObjectNode) shown.path("spec"))
+        .put("address", front.getAddress().getHostAddress() + ":" + front.getPort());
+    return shown;
+  }
+
   private synchronized Answer watch(String kind, long after, long millis) {
     long end = System.nanoTime() + millis * 1_000_000;
     try {
--- a/review/standins-2/Proxy.java
+++ b/review/standins-2/Proxy.java
@@ -17,6 +17,7 @@
   final String name;
   final InetSocketAddress front;
   final String ip;
+  final InetSocketAddress peer;
   private final InetSocketAddress ready;
   private final Path settings;
   private final File output;
@@ -30,6 +31,7 @@
     ip = "127.0.1." + number;
     front = new InetSocketAddress(ip, freePort(ip));
     ready = new InetSocketAddress(ip, freePort(ip));
+    peer = new InetSocketAddress(ip, PEER_PORT);
     settings = folder.resolve(name + ".toml");
     output = folder.resolve(name + ".log").toFile();
     StringBuilder text = new StringBuilder();
@@ -38,7 +40,9 @@
     text.append("caller-address = \"" + ip + ":" + front.getPort() + "\"\n");
     text.append("admin-address = \"" + ip + ":" + ready.getPort() + "\"\n");
     text.append("peer-address = \"" + ip + ":" + PEER_PORT + "\"\n");
-    text.append("seeds = [\"127.0.1.1:8782\",\"127.0.1.2:8782\",\"127.0.1.3:8782\"]\n");
+    if (platform.links == null) {
+      text.append("seeds = [\"127.0.1.1:8782\",\"127.0.1.2:8782\",\"127.0.1.3:8782\"]\n");
+    }
     text.append("shutdown-grace = \"6 s\"\n");
     text.append("[platform]\n");
     text.append("store = \"" + platform.storeAddress() + "\"\n");
