Count a replica that left as planned until its successor has its log

Cause: a promotion needs the reports of enough replicas that one of them holds each acknowledged commit. A replica that announced its end was left out of that number as soon as its entry had ended, because its log goes to a successor; but until the successor is registered nobody stands for that log. One replica was left, one report was asked for, and the replica that had received nothing alone reached it. The departure was not recorded either, so the gap lasted beyond the removal of the member.

Change: such a replica counts until its successor, the other member at its address, is registered, or until the primary acknowledged a later commit, like one that crashed (DepartedReplicas). One that restarts under its own identifier is no successor: it holds nothing. Related paths: the count in Database.promotionQuorum, the removal of a member, and a new incarnation in put() used the same exception; all three are changed.

Where no replica confirms commits, nothing changes.

Why it works: any commit that was acknowledged is held by a replica that counts, and the quorum can leave out one replica less than confirm a commit.

Price: between the end of a leaving replica and its successor (or the next commit) a crashed primary is not replaced.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
@@ -55,4 +55,18 @@
         && pool.equals(other.pool)
         && bornMillis == other.bornMillis;
   }
+
+  /**
+   * Checks whether this member has taken the place of another one that announced its end: the log
+   * of that one was transferred to it.
+   *
+   * @param leaving The last entry of the other member.
+   * @return {@code false} if the other member did not announce its end.
+   */
+  public boolean isSuccessorOf(MemberEntry leaving) {
+    return leaving.draining
+        && !id.equals(leaving.id)
+        && address.equals(leaving.address)
+        && pool.equals(leaving.pool);
+  }
 }
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/DepartedReplicasTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/DepartedReplicasTest.java
@@ -14,14 +14,14 @@
   void countsReplicaUntilItIsBack() {
     departed.recordDeparture(replica("a", 1), 10);
     departed.recordDeparture(replica("b", 1), 11);
-    departed.recordReturn(replica("a", 1));
+    departed.recordRegistration(replica("a", 1));
     assertThat(departed.count()).isEqualTo(1);
   }
 
   @Test
   void countsReplicaThatRestarted() {
     departed.recordDeparture(replica("a", 1), 10);
-    departed.recordReturn(replica("a", 2));
+    departed.recordRegistration(replica("a", 2));
     assertThat(departed.count()).isEqualTo(1);
   }
 
@@ -47,7 +47,36 @@
     assertThat(departed.count()).isZero();
   }
 
+  /** Guards against a promotion while the log of a replica is on its way to the successor. */
+  @Test
+  void countsReplicaThatAnnouncedItsEndUntilItsSuccessorIsRegistered() {
+    departed.recordDeparture(leaving("a", "127.0.0.1:1"), 10);
+    departed.recordRegistration(leaving("b", "127.0.0.1:2"));
+    assertThat(departed.count()).isEqualTo(1);
+
+    departed.recordRegistration(replica("c", 2));
+    assertThat(departed.count()).isZero();
+  }
+
+  @Test
+  void countsReplicaThatAnnouncedItsEndAndRestartedWithoutItsLog() {
+    departed.recordDeparture(leaving("a", "127.0.0.1:1"), 10);
+    departed.recordRegistration(replica("a", 2));
+    assertThat(departed.count()).isEqualTo(1);
+  }
+
+  @Test
+  void countsReplicaThatCrashedWhenAnotherOneIsAtItsAddress() {
+    departed.recordDeparture(replica("a", 1), 10);
+    departed.recordRegistration(replica("b", 2));
+    assertThat(departed.count()).isEqualTo(1);
+  }
+
   private static MemberEntry replica(String id, long bornMillis) {
     return new MemberEntry(id, "orders", "127.0.0.1:1", "a", 2, false, false, bornMillis, 1);
   }
+
+  private static MemberEntry leaving(String id, String address) {
+    return new MemberEntry(id, "orders", address, "a", 2, true, false, 1, 1);
+  }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -143,7 +143,7 @@
    * only once the pool {@link #isConfigured() is configured}.
    *
    * <p>A replica counts as long as it may alone hold an acknowledged commit. One that announced its
-   * end and has gone does not, because its log was transferred to its successor.
+   * end and has gone does not once its successor, which has its log, is there.
    */
   public PromotionQuorum promotionQuorum() {
     Optional<MemberConnectionPool> primary = claimedPrimary();
@@ -151,7 +151,7 @@
         members.values().stream()
             .filter(member -> primary.filter(member.pool::equals).isEmpty())
             .map(member -> member.pool.entry())
-            .filter(entry -> !entry.draining() || registered.test(entry.id()))
+            .filter(entry -> registered.test(entry.id()) || !hasSuccessor(entry))
             .count();
     return new PromotionQuorum((int) replicas + departedReplicas.count(), confirmingReplicas);
   }
@@ -172,7 +172,7 @@
    */
   public void put(MemberEntry entry) {
     DatabaseMember known = members.get(entry.id());
-    departedReplicas.recordReturn(entry);
+    departedReplicas.recordRegistration(entry);
     boolean sameIncarnation = known != null && known.pool.entry().isSameIncarnation(entry);
     if (known != null && !sameIncarnation) {
       recordDeparture(known.pool);
@@ -215,14 +215,18 @@
     claims.removeClaim(id);
   }
 
-  /** Records the end of an incarnation, unless it is the primary or announced its end. */
+  /** Records the end of an incarnation, unless it is the primary or its successor is there. */
   private void recordDeparture(MemberConnectionPool pool) {
     boolean primary = claimedPrimary().filter(pool::equals).isPresent();
-    if (!primary && !pool.entry().draining()) {
+    if (!primary && !hasSuccessor(pool.entry())) {
       departedReplicas.recordDeparture(pool.entry(), context.loop().now());
     }
   }
 
+  private boolean hasSuccessor(MemberEntry leaving) {
+    return members.values().stream().anyMatch(member -> member.pool.entry().isSuccessorOf(leaving));
+  }
+
   /** Records that neither the primary nor enough other proxies respond to this process. */
   public void markCutOff() {
     cutOffUntil = context.loop().now() + CUT_OFF_MILLIS * NANOS_PER_MILLI;
