Send commands to members by one method

A status request and a request to step down took the same way through five classes under two names each. Both are values of MemberCommand now, so that further commands of the same kind, to stop and to go on receiving commits, need one case each. The numbers of the messages between proxies stay. No change of behaviour; RelayCodecTest, RelayTest, LineProtocolTest, PlannedReplacementTest and PrimaryLeaseTest pass.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/DirectConnection.java
@@ -15,6 +15,7 @@
 import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.net.Connection;
 import org.hickoryshed.session.net.EventLoop;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.hickoryshed.session.wire.MemberMessage;
 import org.hickoryshed.session.wire.WireFormat;
 
@@ -244,14 +245,8 @@
   }
 
   @Override
-  public void requestStatus(Consumer<MemberResponse> receiver) {
-    wireFormat.writeStatusRequest(connection.output());
-    expectResponse(receiver, false);
-  }
-
-  @Override
-  public void requestStepDown(long term, Consumer<MemberResponse> receiver) {
-    wireFormat.writeStepDownRequest(connection.output(), term);
+  public void command(MemberCommand command, Consumer<MemberResponse> receiver) {
+    wireFormat.writeCommand(connection.output(), command);
     expectResponse(receiver, false);
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberConnection.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.hickoryshed.decision.statement.Statement;
 import org.hickoryshed.decision.topology.LogPosition;
+import org.hickoryshed.session.wire.MemberCommand;
 
 /**
  * A connection to a member that is lent to one session; it belongs to this process or to another
@@ -65,14 +66,8 @@
       String arguments,
       Consumer<MemberResponse> receiver);
 
-  /** Requests the member's status; the first row of the response is the report. */
-  void requestStatus(Consumer<MemberResponse> receiver);
-
-  /**
-   * Requests that the member steps down if it is the primary of a lower term than the given one;
-   * the first row of the response is its status.
-   */
-  void requestStepDown(long term, Consumer<MemberResponse> receiver);
+  /** Sends a command to the member; the first row of the response is the member's status. */
+  void command(MemberCommand command, Consumer<MemberResponse> receiver);
 
   /** Rolls back the open transaction, without waiting for the response. */
   void rollback();
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -1,9 +1,9 @@
 package org.hickoryshed.session.member;
 
 import java.util.Optional;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hickoryshed.decision.statement.FailureKind;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
@@ -64,62 +64,49 @@
   }
 
   /**
-   * Requests the member's status.
+   * Sends a command to the member.
    *
-   * @param result Receives the report, empty if the member did not respond in time, reported a
-   *     failure or sent a malformed report.
+   * @param timeoutMillis The time to respond, in milliseconds.
+   * @param result Receives the member's status after the command, empty if the member did not
+   *     respond in time, reported a failure or sent a malformed report.
    */
-  public void requestStatus(long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    requestReport(pool::borrow, MemberConnection::requestStatus, timeoutMillis, result);
+  public void command(
+      MemberCommand command, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
+    command(pool::borrow, command, timeoutMillis, result);
   }
 
   /**
-   * Requests the member's status over a connection that is opened for it, also if the member counts
-   * as unreachable.
+   * Sends a command to the member over a connection that is opened for it, also if the member
+   * counts as unreachable.
    *
    * @param timeoutMillis The time to open the connection and to respond, in milliseconds.
-   * @param result Receives the report as for {@link #requestStatus}.
+   * @param result Receives the member's status as for {@link #command}.
    */
-  public void requestStatusOverNewConnection(
-      long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    requestReport(pool::borrowNew, MemberConnection::requestStatus, timeoutMillis, result);
+  public void commandOverNewConnection(
+      MemberCommand command, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
+    command(pool::borrowNew, command, timeoutMillis, result);
   }
 
-  /**
-   * Requests that the member steps down if it is the primary of a lower term than the given one.
-   *
-   * @param result Receives the member's report, empty as for {@link #requestStatus}; the member has
-   *     stepped down if the report says that it is not the primary.
-   */
-  public void requestStepDown(
-      long term, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    requestReport(
-        pool::borrow,
-        (connection, receiver) -> connection.requestStepDown(term, receiver),
-        timeoutMillis,
-        result);
-  }
-
-  private void requestReport(
+  private void command(
       Consumer<Borrower> lender,
-      BiConsumer<MemberConnection, Consumer<MemberResponse>> request,
+      MemberCommand command,
       long timeoutMillis,
       Consumer<Optional<MemberStatusReport>> result) {
     new InternalRequest(
             context.loop(),
             pool,
             lender,
-            request,
-            response ->
-                result.accept(
-                    response
-                        .filter(MemberResponse.Done.class::isInstance)
-                        .map(MemberResponse.Done.class::cast)
-                        .flatMap(done -> done.rows().stream().findFirst())
-                        .flatMap(context.wireFormat()::parseStatus)))
+            (connection, receiver) -> connection.command(command, receiver),
+            response -> result.accept(response.flatMap(this::toReport)))
         .start(timeoutMillis);
   }
 
+  private Optional<MemberStatusReport> toReport(MemberResponse response) {
+    return response instanceof MemberResponse.Done done
+        ? done.rows().stream().findFirst().flatMap(context.wireFormat()::parseStatus)
+        : Optional.empty();
+  }
+
   /** Returns {@code false} if the member responded that it is not the primary. */
   private static boolean allowsPrimary(MemberResponse response) {
     return !(response instanceof MemberResponse.Failed failed
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
@@ -49,7 +50,8 @@
         database.connectionPools().stream().filter(MemberConnectionPool::isReachable).toList();
     ask(
         reachable,
-        (member, report) -> member.requests().requestStatus(TIMEOUT_MILLIS, report),
+        (member, report) ->
+            member.requests().command(new MemberCommand.ReportStatus(), TIMEOUT_MILLIS, report),
         () -> repeatIfNeeded(result));
   }
 
@@ -68,7 +70,10 @@
     ask(
         missing,
         (member, report) ->
-            member.requests().requestStatusOverNewConnection(NEW_CONNECTION_TIMEOUT_MILLIS, report),
+            member
+                .requests()
+                .commandOverNewConnection(
+                    new MemberCommand.ReportStatus(), NEW_CONNECTION_TIMEOUT_MILLIS, report),
         () -> result.accept(reports));
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryAnnouncer.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryAnnouncer.java
@@ -7,6 +7,7 @@
 import org.hickoryshed.session.member.MemberContext;
 import org.hickoryshed.session.peer.PeerMessage;
 import org.hickoryshed.session.peer.PeerNetwork;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
@@ -107,7 +108,8 @@
     memberPool
         .get()
         .requests()
-        .requestStatus(
+        .command(
+            new MemberCommand.ReportStatus(),
             STATUS_TIMEOUT_MILLIS,
             report -> {
               if (report.filter(MemberStatusReport::primary).isPresent()) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryFencing.java
@@ -6,6 +6,7 @@
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
 import org.hickoryshed.session.member.MemberContext;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
@@ -107,7 +108,10 @@
 
   private void requestStepDown(MemberConnectionPool pool, long term) {
     pool.requests()
-        .requestStepDown(term, STEP_DOWN_TIMEOUT_MILLIS, report -> logStepDown(pool, term, report));
+        .command(
+            new MemberCommand.StepDown(term),
+            STEP_DOWN_TIMEOUT_MILLIS,
+            report -> logStepDown(pool, term, report));
   }
 
   private void logStepDown(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -13,6 +13,7 @@
 import org.hickoryshed.decision.statement.TransactionState;
 import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.directory.DirectoryRequest;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -134,9 +135,7 @@
         writeShape(packer, execute.shape());
         packer.packString(execute.arguments());
       }
-      case RelayMessage.AskStatus ask -> packer.packInt(6).packLong(ask.loan());
-      case RelayMessage.AskStepDown ask ->
-          packer.packInt(20).packLong(ask.loan()).packLong(ask.term());
+      case RelayMessage.Command command -> writeCommand(packer, command);
       case RelayMessage.Rollback rollback -> packer.packInt(7).packLong(rollback.loan());
       case RelayMessage.Release release ->
           packer.packInt(8).packLong(release.loan()).packBoolean(release.timedOut());
@@ -215,7 +214,7 @@
               readPosition(unpacker),
               readShape(unpacker),
               unpacker.unpackString());
-      case 6 -> new RelayMessage.AskStatus(unpacker.unpackLong());
+      case 6 -> new RelayMessage.Command(unpacker.unpackLong(), new MemberCommand.ReportStatus());
       case 7 -> new RelayMessage.Rollback(unpacker.unpackLong());
       case 8 -> new RelayMessage.Release(unpacker.unpackLong(), unpacker.unpackBoolean());
       case 9 -> new RelayMessage.Abort(unpacker.unpackLong(), unpacker.unpackString());
@@ -240,7 +239,9 @@
           new RelayMessage.AskDirectory(
               new DirectoryRequest(unpacker.unpackLong(), unpacker.unpackLong()));
       case 19 -> new RelayMessage.Directory(DirectoryCodec.read(unpacker));
-      case 20 -> new RelayMessage.AskStepDown(unpacker.unpackLong(), unpacker.unpackLong());
+      case 20 ->
+          new RelayMessage.Command(
+              unpacker.unpackLong(), new MemberCommand.StepDown(unpacker.unpackLong()));
       default -> throw new IllegalArgumentException("unknown message kind " + kind);
     };
   }
@@ -258,6 +259,15 @@
     return unpacker.hasNext() ? unpacker.unpackLong() : 0;
   }
 
+  private static void writeCommand(MessageBufferPacker packer, RelayMessage.Command message)
+      throws IOException {
+    switch (message.command()) {
+      case MemberCommand.ReportStatus ignored -> packer.packInt(6).packLong(message.loan());
+      case MemberCommand.StepDown stepDown ->
+          packer.packInt(20).packLong(message.loan()).packLong(stepDown.term());
+    }
+  }
+
   private static void writeDone(MessageBufferPacker packer, RelayMessage.Done done)
       throws IOException {
     packer.packInt(13).packLong(done.loan()).packArrayHeader(done.rows().size());
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLenderLink.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayLenderLink.java
@@ -312,9 +312,8 @@
               execute.arguments(),
               this::relayResponse);
         }
-        case RelayMessage.AskStatus ignored -> connection.requestStatus(this::relayResponse);
-        case RelayMessage.AskStepDown ask ->
-            connection.requestStepDown(ask.term(), this::relayResponse);
+        case RelayMessage.Command command ->
+            connection.command(command.command(), this::relayResponse);
         case RelayMessage.Rollback ignored -> connection.rollback();
         default -> throw new IllegalStateException("not a message for the member");
       }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayMessage.java
@@ -9,6 +9,7 @@
 import org.hickoryshed.decision.topology.LogPosition;
 import org.hickoryshed.session.directory.DirectoryRequest;
 import org.hickoryshed.session.directory.DirectoryUpdate;
+import org.hickoryshed.session.wire.MemberCommand;
 
 /**
  * A message over the link between a borrowing and a lending proxy; see {@link RelayCodec} for its
@@ -19,7 +20,7 @@
  * such connection, from the request for it until its return.
  *
  * <p>{@link Lent} or {@link Unavailable} responds to {@link Borrow}. After that, each {@link
- * Begin}, {@link Forward}, {@link Execute} and {@link AskStatus} has one response, {@link Done},
+ * Begin}, {@link Forward}, {@link Execute} and {@link Command} has one response, {@link Done},
  * {@link Failed} or {@link Lost}; the responses of a loan come in the order of its requests. Once
  * the loan has ended, requests without a response get none. Different loans are independent.
  *
@@ -123,19 +124,12 @@
       implements ToLender, LoanMessage {}
 
   /**
-   * Requests the status of the member.
+   * Sends a command to the member.
    *
    * @param loan The number of the loan.
+   * @param command The command.
    */
-  record AskStatus(long loan) implements ToLender, LoanMessage {}
-
-  /**
-   * Requests that the member steps down if it is the primary of a lower term.
-   *
-   * @param loan The number of the loan.
-   * @param term The term.
-   */
-  record AskStepDown(long loan, long term) implements ToLender, LoanMessage {}
+  record Command(long loan, MemberCommand command) implements ToLender, LoanMessage {}
 
   /**
    * Rolls the transaction back; there is no response.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayedConnection.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayedConnection.java
@@ -13,6 +13,7 @@
 import org.hickoryshed.session.member.MemberResponse;
 import org.hickoryshed.session.member.SessionState;
 import org.hickoryshed.session.net.EventLoop;
+import org.hickoryshed.session.wire.MemberCommand;
 
 /**
  * A connection to a member that another proxy lends to this one; relays each request over the link.
@@ -110,13 +111,8 @@
   }
 
   @Override
-  public void requestStatus(Consumer<MemberResponse> receiver) {
-    request(new RelayMessage.AskStatus(loan), receiver);
-  }
-
-  @Override
-  public void requestStepDown(long term, Consumer<MemberResponse> receiver) {
-    request(new RelayMessage.AskStepDown(loan, term), receiver);
+  public void command(MemberCommand command, Consumer<MemberResponse> receiver) {
+    request(new RelayMessage.Command(loan, command), receiver);
   }
 
   @Override
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/WireFormat.java
@@ -132,20 +132,15 @@
   void writeReset(OutputBuffer output);
 
   /**
-   * Requests the status of a member, which it returns as one row.
+   * Sends a command to a member, which returns its status as one row.
    *
    * @param output The output to the member.
+   * @param command The command.
    */
-  void writeStatusRequest(OutputBuffer output);
+  void writeCommand(OutputBuffer output, MemberCommand command);
 
   /**
-   * Writes the request that a member steps down if it is the primary of a lower term than the given
-   * one; the member responds with its status.
-   */
-  void writeStepDownRequest(OutputBuffer output, long term);
-
-  /**
-   * Parses the row that a member returns for a status request.
+   * Parses the row that a member returns for a command.
    *
    * @param row The row.
    * @return The status, empty if the row is malformed.
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -25,6 +25,7 @@
 import org.hickoryshed.decision.workspace.Workspaces;
 import org.hickoryshed.session.directory.DirectoryRequest;
 import org.hickoryshed.session.directory.DirectoryUpdate;
+import org.hickoryshed.session.wire.MemberCommand;
 import org.junit.jupiter.api.Test;
 
 /** Tests the encoding of relay messages, with one sample of each kind of message. */
@@ -63,8 +64,8 @@
           new RelayMessage.Begin(4, false, Optional.empty()),
           new RelayMessage.Forward(5, "5c0e", POSITION, "READ 1a4"),
           new RelayMessage.Execute(6, "5c0e", Optional.empty(), SHAPE, "1a4 xk\u00e9"),
-          new RelayMessage.AskStatus(7),
-          new RelayMessage.AskStepDown(7, 12),
+          new RelayMessage.Command(7, new MemberCommand.ReportStatus()),
+          new RelayMessage.Command(7, new MemberCommand.StepDown(12)),
           new RelayMessage.Rollback(8),
           new RelayMessage.Release(9, true),
           new RelayMessage.Abort(10, "broken"),
