Pause the replicas that are not promoted, so that no commit passes the chosen one by

Cause: the announcement of a promotion is the only thing that keeps proxies from acknowledging commits of the replaced primary, and it does not reach a proxy that is cut off, or reaches nobody if that proxy is the one which orders the promotion. Between the last look at the logs and the effect of the promotion such commits were confirmed by a replica that is not the promoted one.

Change: after the announcement has had its time, the replicas that are not chosen are told to receive nothing more (MemberCommand.Pause, in place of the plain status request), under the term after the newest one that was reported. The promotion is requested once the chosen one holds what they hold. What the primary has beyond that nobody confirmed, so it is no longer waited for if all others are paused. A member that does not know the command is asked for its status as before.

Why it works: a commit is acknowledged once as many replicas hold it as the quorum counts. With the others paused that takes the chosen one, whichever proxy sent the commit.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PromotionCatchUp.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/promotion/PromotionCatchUp.java
@@ -1,13 +1,19 @@
 package org.hickoryshed.decision.promotion;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.hickoryshed.decision.topology.LogPosition;
 
 /**
  * Compares the logs of the members of a database after the proxies stopped to use its primary, to
- * tell whether a replica holds all commits that were acknowledged before.
+ * tell whether a replica holds all acknowledged commits.
+ *
+ * <p>If all other replicas that reported are paused, that includes the commits of a proxy that goes
+ * on using the primary: none is confirmed any more without this replica. What the primary holds
+ * beyond that is not acknowledged.
  */
 public final class PromotionCatchUp {
 
@@ -19,10 +25,13 @@
   /** The end of the primary's log, empty if no primary reported it. */
   private final Optional<LogPosition> primary;
 
+  private final Set<String> pausedReplicas;
+
   private PromotionCatchUp(Builder builder) {
     quorum = builder.quorum;
     replicas = Map.copyOf(builder.replicas);
     primary = builder.primary;
+    pausedReplicas = Set.copyOf(builder.pausedReplicas);
   }
 
   /**
@@ -46,7 +55,12 @@
     return end != null
         && quorum.isReachedBy(replicas.size())
         && replicas.values().stream().noneMatch(end::isBehind)
-        && primary.filter(end::isBehind).isEmpty();
+        && (areOthersPaused(replica) || primary.filter(end::isBehind).isEmpty());
+  }
+
+  private boolean areOthersPaused(String replica) {
+    return replicas.keySet().stream()
+        .allMatch(other -> other.equals(replica) || pausedReplicas.contains(other));
   }
 
   /** Collects the ends of the logs of the members. */
@@ -56,12 +70,26 @@
 
     private final Map<String, LogPosition> replicas = new HashMap<>();
 
+    private final Set<String> pausedReplicas = new HashSet<>();
+
     private Optional<LogPosition> primary = Optional.empty();
 
     private Builder(PromotionQuorum quorum) {
       this.quorum = quorum;
     }
 
+    /**
+     * Adds a replica that receives nothing more.
+     *
+     * @param replica The identifier of the replica.
+     * @param end The end of its log in the term that it is in.
+     * @return This builder.
+     */
+    public Builder addPausedReplica(String replica, LogPosition end) {
+      pausedReplicas.add(replica);
+      return addReplica(replica, end);
+    }
+
     /**
      * Adds a replica.
      *
--- a/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PromotionCatchUpTest.java
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/promotion/PromotionCatchUpTest.java
@@ -47,6 +47,20 @@
     assertThat(logs.build().holdsAllCommits("c")).isFalse();
   }
 
+  /** Guards against waiting for commits that a proxy which hears of no promotion goes on with. */
+  @Test
+  void acceptsReplicaBehindThePrimaryIfTheOthersArePaused() {
+    logs.addPrimary(end(3, 25)).addReplica("a", end(3, 20)).addPausedReplica("b", end(3, 19));
+    assertThat(logs.build().holdsAllCommits("a")).isTrue();
+    assertThat(logs.build().holdsAllCommits("b")).isFalse();
+  }
+
+  @Test
+  void rejectsReplicaBehindPausedOne() {
+    logs.addReplica("a", end(3, 20)).addPausedReplica("b", end(3, 21));
+    assertThat(logs.build().holdsAllCommits("a")).isFalse();
+  }
+
   private static LogPosition end(long term, long index) {
     return new LogPosition(term, index);
   }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -97,10 +97,37 @@
             pool,
             lender,
             (connection, receiver) -> connection.command(command, receiver),
-            response -> result.accept(response.flatMap(this::toReport)))
+            response -> {
+              if (isUnknownCommand(command, response)) {
+                command(lender, new MemberCommand.ReportStatus(), timeoutMillis, result);
+              } else {
+                result.accept(response.flatMap(this::toReport));
+              }
+            })
         .start(timeoutMillis);
   }
 
+  /**
+   * Checks if the member does not know a command that stops or resumes replication: it responded
+   * with something else than its status. Its plain status is requested then.
+   */
+  private boolean isUnknownCommand(MemberCommand command, Optional<MemberResponse> response) {
+    return switch (command) {
+      case MemberCommand.Pause ignored -> response.map(this::isNoStatus).orElse(false);
+      case MemberCommand.Resume ignored -> response.map(this::isNoStatus).orElse(false);
+      case MemberCommand.ReportStatus ignored -> false;
+      case MemberCommand.StepDown ignored -> false;
+    };
+  }
+
+  private boolean isNoStatus(MemberResponse response) {
+    return switch (response) {
+      case MemberResponse.Done ignored -> toReport(response).isEmpty();
+      case MemberResponse.Failed failed -> failed.kind() == FailureKind.MALFORMED;
+      case MemberResponse.Lost ignored -> false;
+    };
+  }
+
   private Optional<MemberStatusReport> toReport(MemberResponse response) {
     return response instanceof MemberResponse.Done done
         ? done.rows().stream().findFirst().flatMap(context.wireFormat()::parseStatus)
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/MemberStatusSurvey.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.hickoryshed.session.member.Database;
 import org.hickoryshed.session.member.MemberConnectionPool;
@@ -15,7 +16,7 @@
 import org.hickoryshed.session.wire.MemberStatusReport;
 
 /**
- * Collects the status of the members of a database, once.
+ * Collects the status of the members of a database, once, with any command that returns it.
  *
  * <p>A member that does not respond may be alive behind a connection that went silent. If a
  * promotion depends on its log, it is asked again over a new connection.
@@ -32,12 +33,27 @@
 
   private final Database database;
 
+  /** Chooses the command for each member. */
+  private final Function<MemberConnectionPool, MemberCommand> commands;
+
   /** The reports so far, empty for members that did not respond in time. */
   private final Map<MemberConnectionPool, Optional<MemberStatusReport>> reports =
       new LinkedHashMap<>();
 
+  /** Creates a survey that only asks for the status. */
   MemberStatusSurvey(Database database) {
+    this(database, member -> new MemberCommand.ReportStatus());
+  }
+
+  /**
+   * Creates a survey.
+   *
+   * @param database The database.
+   * @param commands Chooses the command for each member.
+   */
+  MemberStatusSurvey(Database database, Function<MemberConnectionPool, MemberCommand> commands) {
     this.database = database;
+    this.commands = commands;
   }
 
   /**
@@ -51,7 +67,7 @@
     ask(
         reachable,
         (member, report) ->
-            member.requests().command(new MemberCommand.ReportStatus(), TIMEOUT_MILLIS, report),
+            member.requests().command(commands.apply(member), TIMEOUT_MILLIS, report),
         () -> repeatIfNeeded(result));
   }
 
@@ -73,7 +89,7 @@
             member
                 .requests()
                 .commandOverNewConnection(
-                    new MemberCommand.ReportStatus(), NEW_CONNECTION_TIMEOUT_MILLIS, report),
+                    commands.apply(member), NEW_CONNECTION_TIMEOUT_MILLIS, report),
         () -> result.accept(reports));
   }
 
@@ -115,7 +131,7 @@
     return report
         .map(
             known ->
-                (known.primary() ? "primary " : "replica ")
+                (known.primary() ? "primary " : known.isPaused() ? "paused " : "replica ")
                     + known.received().term()
                     + "."
                     + known.received().index())
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hickoryshed.decision.promotion.PrimaryFailureVote;
@@ -40,12 +39,6 @@
   /** The time after which a vote is decided without the missing responses, in milliseconds. */
   private static final long VOTE_TIMEOUT_MILLIS = 260;
 
-  /**
-   * The time for a primary to respond to a probe, in milliseconds. The assumed round-trip latency
-   * to the primary is added to it.
-   */
-  private static final long PROBE_TIMEOUT_MILLIS = 160;
-
   /** The pause after a failover that ended without a promotion, in milliseconds. */
   private static final long NO_PROMOTION_PAUSE_MILLIS = 350;
 
@@ -75,10 +68,14 @@
 
   private final Function<String, Optional<Database>> databases;
 
+  private final PrimaryProbe probe;
+
   private final PrimaryAnnouncer announcer;
 
   private final PrimaryFencing fencing;
 
+  private final ReplicaPauses pauses;
+
   private final PromotionPreparation preparation;
 
   private final PrimaryReleaseRequest releases;
@@ -105,9 +102,11 @@
     this.peers = peers;
     this.promotions = promotions;
     this.databases = databases;
+    probe = new PrimaryProbe(context, databases);
     announcer = new PrimaryAnnouncer(context, peers, databases);
     fencing = new PrimaryFencing(context, databases);
-    preparation = new PromotionPreparation(context, databases);
+    pauses = new ReplicaPauses(context, databases);
+    preparation = new PromotionPreparation(context, databases, pauses);
     releases = new PrimaryReleaseRequest(context, peers);
   }
 
@@ -154,7 +153,7 @@
         voter ->
             peers.send(voter, new PeerMessage.PrimaryProbeRequest(pool, member, failover.voteId)));
     long voteId = failover.voteId;
-    probePrimary(
+    probe.start(
         pool,
         member,
         reachable -> onVoteReceived(failover, voteId, context.processName(), reachable));
@@ -171,7 +170,7 @@
                   database -> database.recordPrimary(primary.member(), primary.term(), from));
       case PeerMessage.PrimaryProbeRequest request -> {
         announcer.correctOutdatedPrimary(from, request);
-        probePrimary(
+        probe.start(
             request.pool(),
             request.member(),
             reachable ->
@@ -187,7 +186,7 @@
       case PeerMessage.PromotionRecorded promotion -> {
         yieldTo(from, failovers.computeIfAbsent(promotion.pool(), this::newFailover));
         promotions.onPromotionAnnounced(promotion.pool());
-        fencing.onPromotionRecorded(promotion.pool(), promotion.member());
+        onPromotionRecorded(promotion.pool(), promotion.member());
         releases.promise(from, promotion);
       }
       case PeerMessage.PromotionPromised promise -> releases.onPromise(from, promise);
@@ -247,30 +246,6 @@
     }
   }
 
-  /**
-   * Checks if the primary of a pool responds to this proxy.
-   *
-   * <p>If this proxy knows another primary than the requesting one, the result is {@code true}: the
-   * suspicion is about a primary that has been replaced.
-   *
-   * @param pool The name of the pool.
-   * @param member The identifier of the primary that the requesting proxy knows, empty if it knows
-   *     none.
-   * @param result Receives whether the primary responds.
-   */
-  private void probePrimary(String pool, String member, Consumer<Boolean> result) {
-    Optional<MemberConnectionPool> primary =
-        databases.apply(pool).flatMap(Database::claimedPrimary);
-    if (primary.isEmpty()) {
-      result.accept(false);
-    } else if (!member.isEmpty() && !primary.get().entry().id().equals(member)) {
-      result.accept(true);
-    } else {
-      long roundTripMillis = 2 * context.oneWayLatencyMillis(primary.get().entry().domain());
-      primary.get().requests().probe(PROBE_TIMEOUT_MILLIS + roundTripMillis, result);
-    }
-  }
-
   /**
    * Counts the response of one proxy, including this one. A proxy that reaches the primary is
    * recorded, so that statements can be relayed through it.
@@ -465,7 +440,12 @@
 
   private void announcePromotion(String pool, String member) {
     announcer.broadcast(new PeerMessage.PromotionRecorded(pool, member));
+    onPromotionRecorded(pool, member);
+  }
+
+  private void onPromotionRecorded(String pool, String member) {
     fencing.onPromotionRecorded(pool, member);
+    pauses.onPromotionRecorded(pool, member);
   }
 
   private void onPromotionResult(
@@ -474,12 +454,15 @@
     failover.stage = PoolFailoverState.Stage.IDLE;
     switch (result) {
       case ACCEPTED -> {
+        pauses.onPromotionAccepted(failover.pool);
         failover.pause(loop().now(), PROMOTION_PAUSE_MILLIS);
         announcer.awaitPrimary(failover.pool, member);
       }
       case UNKNOWN -> failover.pause(loop().now(), UNKNOWN_RESULT_PAUSE_MILLIS);
-      case REFUSED, NOT_HOLDER, NOT_PREPARED ->
-          failover.pause(loop().now(), NO_PROMOTION_PAUSE_MILLIS);
+      case REFUSED, NOT_HOLDER, NOT_PREPARED -> {
+        pauses.resume(failover.pool);
+        failover.pause(loop().now(), NO_PROMOTION_PAUSE_MILLIS);
+      }
     }
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -242,6 +242,10 @@
       case 20 ->
           new RelayMessage.Command(
               unpacker.unpackLong(), new MemberCommand.StepDown(unpacker.unpackLong()));
+      case 21 ->
+          new RelayMessage.Command(
+              unpacker.unpackLong(), new MemberCommand.Pause(unpacker.unpackLong()));
+      case 22 -> new RelayMessage.Command(unpacker.unpackLong(), new MemberCommand.Resume());
       default -> throw new IllegalArgumentException("unknown message kind " + kind);
     };
   }
@@ -265,6 +269,9 @@
       case MemberCommand.ReportStatus ignored -> packer.packInt(6).packLong(message.loan());
       case MemberCommand.StepDown stepDown ->
           packer.packInt(20).packLong(message.loan()).packLong(stepDown.term());
+      case MemberCommand.Pause pause ->
+          packer.packInt(21).packLong(message.loan()).packLong(pause.term());
+      case MemberCommand.Resume ignored -> packer.packInt(22).packLong(message.loan());
     }
   }
 
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/MemberCommand.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/wire/MemberCommand.java
@@ -12,4 +12,15 @@
    * @param term The term.
    */
   record StepDown(long term) implements MemberCommand {}
+
+  /**
+   * Makes a replica receive nothing until a member is promoted, it is told to go on, or it
+   * restarts.
+   *
+   * @param term A term above that of the primary.
+   */
+  record Pause(long term) implements MemberCommand {}
+
+  /** Makes a replica that was paused receive again. */
+  record Resume() implements MemberCommand {}
 }
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/relay/RelayCodecTest.java
@@ -66,6 +66,8 @@
           new RelayMessage.Execute(6, "5c0e", Optional.empty(), SHAPE, "1a4 xk\u00e9"),
           new RelayMessage.Command(7, new MemberCommand.ReportStatus()),
           new RelayMessage.Command(7, new MemberCommand.StepDown(12)),
+          new RelayMessage.Command(7, new MemberCommand.Pause(13)),
+          new RelayMessage.Command(7, new MemberCommand.Resume()),
           new RelayMessage.Rollback(8),
           new RelayMessage.Release(9, true),
           new RelayMessage.Abort(10, "broken"),
