Let every proxy hear of a recorded promotion from the store as well

A proxy that is cut off from the others went on writing at the primary that was being replaced until it lost the lead.

Cause: the record of a promotion is in the store before anything else happens, but a proxy learns of it only by a datagram of the one that wrote it, or when its own attempt finds the conflict, which came 150 to 700 ms after the order in the kept logs, as attempts wait in one queue.

Change: where the desired state makes a primary wait for replicas, each proxy watches the promotion records (one waiting call of 4 s) and reacts to a new one of another proxy as to its announcement: it stops using the primary and leaves the replacement to the other (StoredPromotions).

Why it works: the record is written at least 150 ms before the order, and a watch returns within the latency of a call. A proxy that neither the store nor an announcement reaches is covered by the paused replicas. Deployments without confirming replicas make no call more.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/DesiredState.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/DesiredState.java
@@ -43,6 +43,15 @@
     return Optional.ofNullable(routes.get(database));
   }
 
+  /**
+   * Checks whether the primary of any pool waits for replicas before it acknowledges a commit.
+   *
+   * @return {@code true} if there is such a pool.
+   */
+  public boolean hasConfirmingReplicas() {
+    return pools.values().stream().anyMatch(pool -> pool.confirmingReplicas() > 0);
+  }
+
   /**
    * Checks whether this state supersedes another one.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PrimaryMonitor.java
@@ -31,7 +31,7 @@
  * <p>All methods run on the event loop; only the promotion request itself runs on the thread of
  * {@link PromotionCoordinator}.
  */
-public final class PrimaryMonitor implements PeerNetwork.Listener {
+public final class PrimaryMonitor implements PeerNetwork.Listener, StoredPromotions.Listener {
 
   /** The interval at which the primaries of all pools are checked, in milliseconds. */
   private static final long CHECK_INTERVAL_MILLIS = 200;
@@ -184,9 +184,7 @@
                   failover ->
                       onVoteReceived(failover, response.voteId(), from, response.reachable()));
       case PeerMessage.PromotionRecorded promotion -> {
-        yieldTo(from, failovers.computeIfAbsent(promotion.pool(), this::newFailover));
-        promotions.onPromotionAnnounced(promotion.pool());
-        onPromotionRecorded(promotion.pool(), promotion.member());
+        onPromotion(from, promotion.pool(), promotion.member());
         releases.promise(from, promotion);
       }
       case PeerMessage.PromotionPromised promise -> releases.onPromise(from, promise);
@@ -196,6 +194,13 @@
     }
   }
 
+  @Override
+  public void onPromotion(String holder, String pool, String member) {
+    yieldTo(holder, failovers.computeIfAbsent(pool, this::newFailover));
+    promotions.onPromotionAnnounced(pool);
+    onPromotionRecorded(pool, member);
+  }
+
   /**
    * Pauses the failover of a pool, because another proxy announced that it recorded a promotion.
    *
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/ReplicaPauses.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/ReplicaPauses.java
@@ -76,6 +76,9 @@
    * @param member The identifier of the member that is to be promoted.
    */
   void onPromotionRecorded(String pool, String member) {
+    if (databases.apply(pool).filter(ReplicaPauses::mayBePaused).isEmpty()) {
+      return;
+    }
     int number = heardPromotions.merge(pool, 1, Integer::sum);
     long jitterMillis = ThreadLocalRandom.current().nextLong(MAX_JITTER_MILLIS);
     context
@@ -92,9 +95,13 @@
             });
   }
 
+  private static boolean mayBePaused(Database database) {
+    return database.promotionQuorum().protectsCommits();
+  }
+
   /** Checks if another member than the one that was to be promoted is the primary. */
   private static boolean isAbandoned(Database database, String member) {
-    return database.promotionQuorum().protectsCommits()
+    return mayBePaused(database)
         && database.claimedPrimary().filter(pool -> !pool.entry().id().equals(member)).isPresent();
   }
 
