Read entries of other writers without the memory of their whole tree

Another writer had left two entries of almost 1 MiB of small nested lists among the members.

Cause: a list of the store was read as one tree a page, and the trees of all pages were kept until the last page was read. A byte of such an entry becomes up to some 50 bytes of nodes, so two of them fill the heap of 96 MB. The filter for odd values limited the nesting and the length of numbers only. A running process read the entries one by one in its watch, which is why the fault shows at a start.

Change: a list is read element by element, each is decoded at once, and only what was decoded is kept.

Why it works: what a page can take in memory follows from the size of a page, whatever the entries look like and however many there are.

--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/http/CallFailure.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/CallFailure.java
@@ -34,4 +34,11 @@
    * @param detail What is wrong with the content.
    */
   record Malformed(String detail) implements CallFailure {}
+
+  /**
+   * The response of the service is longer than this client takes.
+   *
+   * @param limitBytes The longest body that is taken, in bytes.
+   */
+  record TooLong(long limitBytes) implements CallFailure {}
 }
--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/http/JsonHttpClient.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/JsonHttpClient.java
@@ -37,12 +37,27 @@
 
   private final HttpClient client;
 
+  /** The longest body of a response that is taken, in bytes. */
+  private final int maxBodyBytes;
+
   /**
-   * Creates a client.
+   * Creates a client that takes responses of any length.
    *
    * @param source The local address that connections come from.
    */
   public JsonHttpClient(InetAddress source) {
+    this(source, Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates a client.
+   *
+   * @param source The local address that connections come from.
+   * @param maxBodyBytes The longest body of a response that is taken, in bytes; a longer one gives
+   *     {@link CallFailure.TooLong}.
+   */
+  public JsonHttpClient(InetAddress source, int maxBodyBytes) {
+    this.maxBodyBytes = maxBodyBytes;
     client =
         HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
@@ -92,14 +107,14 @@
    */
   private Result<Response, CallFailure> send(HttpRequest request, Duration timeout) {
     CompletableFuture<HttpResponse<byte[]>> pending =
-        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
+        client.sendAsync(request, head -> new LimitedBody(maxBodyBytes));
     try {
       HttpResponse<byte[]> response =
           pending.get(timeout.toMillis() + RESPONSE_MARGIN.toMillis(), TimeUnit.MILLISECONDS);
       return Result.success(
           new Response(response.statusCode(), response.body(), response.headers()));
     } catch (ExecutionException exception) {
-      return Result.failure(failure(exception.getCause()));
+      return Result.failure(failure(exception));
     } catch (TimeoutException exception) {
       pending.cancel(true);
       return Result.failure(
@@ -112,7 +127,13 @@
   }
 
   /** Tells by the cause of a failure whether the request may have been sent. */
-  private static CallFailure failure(Throwable cause) {
+  private CallFailure failure(ExecutionException exception) {
+    for (Throwable next = exception; next != null; next = next.getCause()) {
+      if (next instanceof LimitedBody.TooLongException) {
+        return new CallFailure.TooLong(maxBodyBytes);
+      }
+    }
+    Throwable cause = exception.getCause();
     return cause instanceof HttpConnectTimeoutException || cause instanceof ConnectException
         ? new CallFailure.NotSent(cause.toString())
         : new CallFailure.NoAnswer(String.valueOf(cause));
--- a/hickoryshed-client/src/main/java/org/hickoryshed/client/http/Response.java
+++ b/hickoryshed-client/src/main/java/org/hickoryshed/client/http/Response.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.http.HttpHeaders;
+import java.util.function.Consumer;
 import org.hickoryshed.kernel.json.Json;
+import org.hickoryshed.kernel.json.JsonLimits;
 import org.hickoryshed.kernel.result.Result;
 
 /**
@@ -26,13 +28,18 @@
   }
 
   /**
-   * Reads the body as a JSON tree that several writers contributed to; see {@link
+   * Reads the body as a JSON object that several writers contributed to; see {@link
    * Json#readTolerantly}.
    *
-   * @return The tree, or {@link CallFailure.Malformed} if the body as a whole is not JSON.
+   * @param limits The limits of the values.
+   * @param array The name of an array in the object.
+   * @param receiver Receives the elements of the array one by one, also if this method fails.
+   * @return The object without the array, or {@link CallFailure.Malformed} if the body as a whole
+   *     is not a JSON object.
    */
-  public Result<JsonNode, CallFailure> asTolerantTree() {
-    return withCallFailure(Json.readTolerantly(body));
+  public Result<JsonNode, CallFailure> readTolerantly(
+      JsonLimits limits, String array, Consumer<JsonNode> receiver) {
+    return withCallFailure(Json.readTolerantly(body, limits, array, receiver));
   }
 
   private static <T> Result<T, CallFailure> withCallFailure(Result<T, Json.Malformed> read) {
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/Json.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/Json.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -10,9 +12,11 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.cfg.MapperBuilder;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
 import org.hickoryshed.kernel.result.Result;
 
 /**
@@ -33,6 +37,8 @@
                       .streamReadConstraints(
                           StreamReadConstraints.builder().maxNameLength(Integer.MAX_VALUE).build())
                       .build()))
+          // Values are read one by one; what follows the last one is checked by the code.
+          .disable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
   private Json() {}
@@ -99,22 +105,50 @@
   }
 
   /**
-   * Reads a JSON tree that several writers contributed to, so that an odd value of one of them does
-   * not make the whole tree unreadable.
+   * Reads a JSON object that several writers contributed to, so that an odd value of one of them
+   * neither makes the whole object unreadable nor takes much memory.
    *
-   * <p>Values that are nested too deeply and malformed or overlong numbers are read as {@code null}
-   * (see {@link JsonExcessFilter}), and invalid UTF-8 as replacement characters.
+   * <p>Values beyond the limits, that are nested too deeply, and malformed or overlong numbers are
+   * read as {@code null} (see {@link JsonExcessFilter}), and invalid UTF-8 as replacement
+   * characters. Only one element of the array is held in memory at a time.
    *
    * @param content The JSON in UTF-8.
-   * @return The tree or the reason why the content is malformed as a whole.
+   * @param limits The limits.
+   * @param array The name of an array in the object.
+   * @param receiver Receives the elements of the array one by one, also if the content turns out to
+   *     be malformed later.
+   * @return The object without the array, or the reason why the content is malformed as a whole.
    */
-  public static Result<JsonNode, Malformed> readTolerantly(byte[] content) {
-    String text = new String(JsonExcessFilter.filter(content), StandardCharsets.UTF_8);
-    try {
-      JsonNode tree = TOLERANT_MAPPER.readTree(text);
-      return tree.isMissingNode() ? Result.failure(new Malformed("empty")) : Result.success(tree);
+  public static Result<JsonNode, Malformed> readTolerantly(
+      byte[] content, JsonLimits limits, String array, Consumer<JsonNode> receiver) {
+    String text = new String(JsonExcessFilter.filter(content, limits), StandardCharsets.UTF_8);
+    try (JsonParser parser = TOLERANT_MAPPER.createParser(text)) {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
+        return Result.failure(new Malformed("not an object"));
+      }
+      ObjectNode others = TOLERANT_MAPPER.createObjectNode();
+      while (parser.nextToken() == JsonToken.FIELD_NAME) {
+        String name = parser.currentName();
+        if (parser.nextToken() == JsonToken.START_ARRAY && name.equals(array)) {
+          readElements(parser, receiver);
+        } else {
+          others.set(name, parser.<JsonNode>readValueAsTree());
+        }
+      }
+      return parser.nextToken() == null
+          ? Result.success(others)
+          : Result.failure(new Malformed("content after the end of the object"));
     } catch (JsonProcessingException exception) {
       return Result.failure(new Malformed(exception.getOriginalMessage()));
+    } catch (IOException exception) {
+      return Result.failure(new Malformed(exception.getMessage()));
+    }
+  }
+
+  private static void readElements(JsonParser parser, Consumer<JsonNode> receiver)
+      throws IOException {
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      receiver.accept(parser.readValueAsTree());
     }
   }
 
--- a/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/JsonExcessFilter.java
+++ b/hickoryshed-kernel/src/main/java/org/hickoryshed/kernel/json/JsonExcessFilter.java
@@ -6,16 +6,14 @@
 
 /**
  * Replaces values of a JSON text that a parser would reject, or spend too much memory on, by {@code
- * null}: arrays and objects that are nested too deeply, and numbers that are malformed or too long.
+ * null}: arrays and objects that are nested too deeply, numbers that are malformed or too long, and
+ * values beyond the {@link JsonLimits} of the text.
  *
  * <p>It needs no memory for each level of nesting. The text need not be valid JSON; what is invalid
  * otherwise is left to the parser.
  */
 final class JsonExcessFilter {
 
-  /** The depth up to which arrays and objects are kept. */
-  private static final int MAX_DEPTH = 32;
-
   /** The length up to which numbers are kept, in characters; no integer of 64 bits is longer. */
   private static final int MAX_NUMBER_LENGTH = 40;
 
@@ -26,7 +24,12 @@
 
   private final byte[] content;
 
-  private final ByteArrayOutputStream output;
+  private final JsonLimits limits;
+
+  private final Output output;
+
+  /** The length of the output before each array or object that is open and kept. */
+  private final int[] starts;
 
   /** The index of the next byte to read. */
   private int position;
@@ -34,19 +37,22 @@
   /** The number of arrays and objects that are open at the position. */
   private int depth;
 
-  private JsonExcessFilter(byte[] content) {
+  private JsonExcessFilter(byte[] content, JsonLimits limits) {
     this.content = content;
-    output = new ByteArrayOutputStream(content.length);
+    this.limits = limits;
+    output = new Output(content.length);
+    starts = new int[limits.maxOpen()];
   }
 
   /**
    * Filters a text.
    *
    * @param content The JSON in UTF-8.
+   * @param limits The limits.
    * @return The JSON without the excess.
    */
-  static byte[] filter(byte[] content) {
-    JsonExcessFilter filter = new JsonExcessFilter(content);
+  static byte[] filter(byte[] content, JsonLimits limits) {
+    JsonExcessFilter filter = new JsonExcessFilter(content, limits);
     while (filter.position < content.length) {
       filter.copyNext();
     }
@@ -59,7 +65,7 @@
     byte next = content[position];
     if (next == '"') {
       skipString();
-      copyFrom(start);
+      copyStringFrom(start);
     } else if (isWordCharacter(next)) {
       skipWord();
       copyWordFrom(start);
@@ -74,7 +80,7 @@
       case '[', '{' -> open(next);
       case ']', '}' -> close(next);
       default -> {
-        if (depth <= MAX_DEPTH) {
+        if (depth <= starts.length) {
           output.write(next);
         }
       }
@@ -82,9 +88,10 @@
   }
 
   private void open(byte bracket) {
-    if (depth < MAX_DEPTH) {
+    if (depth < starts.length) {
+      starts[Math.max(depth, 0)] = output.size();
       output.write(bracket);
-    } else if (depth == MAX_DEPTH) {
+    } else if (depth == starts.length) {
       output.writeBytes(NULL);
     }
     depth++;
@@ -92,9 +99,14 @@
 
   private void close(byte bracket) {
     depth--;
-    if (depth < MAX_DEPTH) {
+    if (depth < starts.length) {
       output.write(bracket);
     }
+    boolean limited = depth >= limits.depth() && depth < starts.length;
+    if (limited && output.size() - starts[depth] > limits.maxValueBytes()) {
+      output.truncate(starts[depth]);
+      output.writeBytes(NULL);
+    }
   }
 
   /** Moves the position behind the string that starts there. */
@@ -112,8 +124,26 @@
     }
   }
 
+  /** Copies a string, or {@code null} in place of one that is too long and no name of a field. */
+  private void copyStringFrom(int start) {
+    boolean tooLong = depth >= limits.depth() && position - start > limits.maxValueBytes();
+    if (!tooLong || isFollowedByColon()) {
+      copyFrom(start);
+    } else if (depth <= starts.length) {
+      output.writeBytes(NULL);
+    }
+  }
+
+  private boolean isFollowedByColon() {
+    int next = position;
+    while (next < content.length && content[next] <= ' ' && content[next] >= 0) {
+      next++;
+    }
+    return next < content.length && content[next] == ':';
+  }
+
   private void copyFrom(int start) {
-    if (depth <= MAX_DEPTH) {
+    if (depth <= starts.length) {
       output.write(content, start, position - start);
     }
   }
@@ -133,7 +163,7 @@
         };
     if (kept) {
       copyFrom(start);
-    } else if (depth <= MAX_DEPTH) {
+    } else if (depth <= starts.length) {
       output.writeBytes(NULL);
     }
   }
@@ -147,4 +177,16 @@
         || value == '+'
         || value == '.';
   }
+
+  /** An output whose end can be taken back. */
+  private static final class Output extends ByteArrayOutputStream {
+
+    private Output(int capacity) {
+      super(capacity);
+    }
+
+    private void truncate(int size) {
+      count = size;
+    }
+  }
 }
--- a/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/json/JsonExcessFilterTest.java
+++ b/hickoryshed-kernel/src/test/java/org/hickoryshed/kernel/json/JsonExcessFilterTest.java
@@ -43,8 +43,40 @@
     assertThat(filter("[" + "9".repeat(100_000) + ",1]")).isEqualTo("[null,1]");
   }
 
+  /** Guards against a tree that takes many times the memory of its text. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "[1,2,3,4,5,6,7,8,9,0,1,2]",
+        "{\"a\":1,\"b\":2,\"c\":3,\"d\":4}",
+        "\"a text of more than twenty characters\""
+      })
+  void replacesValueThatIsTooLong(String value) {
+    JsonLimits limits = new JsonLimits(1, 20, 1);
+    assertThat(filter("{\"n\":" + value + ",\"next\":[1]}", limits))
+        .isEqualTo("{\"n\":null,\"next\":[1]}");
+  }
+
+  @Test
+  void replacesNestedValuesBeforeTheyMakeTheOuterOneTooLong() {
+    String nested = "[[" + "1,".repeat(100) + "1]]";
+    assertThat(filter("{\"n\":{\"deep\":" + nested + ",\"a\":1}}", new JsonLimits(1, 24, 1)))
+        .isEqualTo("{\"n\":{\"deep\":null,\"a\":1}}");
+  }
+
+  @Test
+  void keepsLongValuesAboveTheDepthOfTheLimits() {
+    String text = "{\"items\":[{\"a\":1},{\"b\":2},{\"c\":\"a name of a field\"}]}";
+    assertThat(filter(text, new JsonLimits(3, 20, 1))).isEqualTo(text);
+  }
+
   private static String filter(String text) {
+    return filter(text, JsonLimits.NONE);
+  }
+
+  private static String filter(String text, JsonLimits limits) {
     return new String(
-        JsonExcessFilter.filter(text.getBytes(StandardCharsets.UTF_8)), StandardCharsets.UTF_8);
+        JsonExcessFilter.filter(text.getBytes(StandardCharsets.UTF_8), limits),
+        StandardCharsets.UTF_8);
   }
 }
--- a/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/RequestSender.java
+++ b/hickoryshed-proxy/src/main/java/org/hickoryshed/proxy/pooler/RequestSender.java
@@ -91,6 +91,8 @@
               new Outcome.Unknown(Reason.ANSWER_LOST, detail);
           case CallFailure.Malformed(String detail) ->
               new Outcome.Unknown(Reason.ANSWER_LOST, detail);
+          case CallFailure.TooLong(long limitBytes) ->
+              new Outcome.Unknown(Reason.ANSWER_LOST, "longer than " + limitBytes + " bytes");
         };
     return new SendResult(WorkOutcome.LOST, outcome, Optional.empty());
   }
