--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberList.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberList.java
@@ -4,9 +4,10 @@
 import java.util.OptionalLong;
 
 /**
- * A snapshot of all registered members.
+ * A list of all registered members.
  *
- * @param revision The revision of the store that the snapshot reflects.
+ * @param revision The revision of the store up to which all changes are included; some later ones
+ *     may be included too.
  * @param lastChangeRevision The revision of the latest change of any member, empty if it is not
  *     known.
  * @param entries The entries of all members.
@@ -15,11 +16,12 @@
     long revision, OptionalLong lastChangeRevision, List<MemberEntry> entries) {
 
   /**
-   * Returns the highest revision among the entries.
+   * Returns the latest revision of a change of the entries up to which all changes are included.
    *
    * @return The revision, zero without entries.
    */
-  public long highestRevision() {
-    return entries.stream().mapToLong(MemberEntry::revision).max().orElse(0);
+  public long latestCompleteRevision() {
+    long latest = entries.stream().mapToLong(MemberEntry::revision).max().orElse(0);
+    return Math.min(latest, revision);
   }
 }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
@@ -79,17 +79,24 @@
     return !pendingRemovals.contains(id);
   }
 
-  /** Replaces all members by those of a complete list, unless a later version is known. */
+  /**
+   * Replaces all members by those of a complete list, unless a later version is known. A member
+   * whose entry is later than the list stays, even if it is not listed.
+   */
   public void replace(MemberList update) {
     if (update.revision() < version) {
       return;
     }
     Set<String> listed = update.entries().stream().map(MemberEntry::id).collect(Collectors.toSet());
     update.entries().forEach(this::put);
-    Set<String> ended = new HashSet<>(entries.keySet());
-    ended.removeAll(listed);
+    Set<String> ended =
+        entries.values().stream()
+            .filter(entry -> entry.revision() <= update.revision())
+            .map(MemberEntry::id)
+            .filter(id -> !listed.contains(id))
+            .collect(Collectors.toSet());
     ended.forEach(this::scheduleRemoval);
-    long latest = ended.isEmpty() ? update.highestRevision() : update.revision();
+    long latest = ended.isEmpty() ? update.latestCompleteRevision() : update.revision();
     advanceVersion(update.lastChangeRevision().orElse(latest));
   }
 
