Spare a leaving primary at the end of its drain period, replaced or not

Cause: replicas that are leaving get no reads, but the primary was used as long as it claimed the role; nothing looked at the time since its report.

Change: each proxy notes when it learned that a member is leaving and does not use it as the primary from a second before the end of the drain period on (DatabaseMember.isDrained). Statements wait for a new primary as at any time without one, and are refused as not run. The replacement goes on being tried.

Not covered: a proxy that starts while a member is leaving counts from its own start.

--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/SessionSettings.java
@@ -27,6 +27,7 @@
  * @param promotionAddress The address of the platform's promotion service.
  * @param fencing {@code true} if the platform keeps a replaced primary from committing writes;
  *     otherwise the proxies see to it.
+ * @param memberDrainPeriod The time after which a leaving member gets no statements any more.
  * @param shutdownGrace The time between the request to stop and the end of the process.
  * @param keptConnections The number of connections to a member that stay open while idle.
  * @param sessionLimit The highest number of open sessions; further ones are refused.
@@ -44,12 +45,15 @@
     InetSocketAddress storeAddress,
     InetSocketAddress promotionAddress,
     boolean fencing,
+    Duration memberDrainPeriod,
     Duration shutdownGrace,
     int keptConnections,
     int sessionLimit,
     Optional<QuotaBounds> quota,
     BalancingMode balancing) {
 
+  private static final Duration DEFAULT_MEMBER_DRAIN_PERIOD = Duration.ofSeconds(7);
+
   private static final Duration DEFAULT_SHUTDOWN_GRACE = Duration.ofSeconds(6);
 
   private static final int DEFAULT_KEPT_CONNECTIONS = 1;
@@ -84,6 +88,7 @@
         reader.address("platform.store"),
         reader.address("platform.promotion"),
         reader.flag("platform.fencing", false),
+        reader.duration("member-drain-period", DEFAULT_MEMBER_DRAIN_PERIOD),
         reader.duration("shutdown-grace", DEFAULT_SHUTDOWN_GRACE),
         reader.integer("kept-connections", DEFAULT_KEPT_CONNECTIONS, 1, MAX_COUNT),
         reader.integer("session-limit", DEFAULT_SESSION_LIMIT, 1, MAX_COUNT),
@@ -110,6 +115,7 @@
         newer.storeAddress,
         newer.promotionAddress,
         newer.fencing,
+        newer.memberDrainPeriod,
         newer.shutdownGrace,
         newer.keptConnections,
         newer.sessionLimit,
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/Database.java
@@ -184,6 +184,7 @@
     }
     if (sameIncarnation) {
       known.pool.update(entry);
+      known.onEntry(context.loop().now());
       known.notPrimaryUntil = context.loop().now();
       return;
     }
@@ -258,12 +259,14 @@
    * Finds the member to use as the primary.
    *
    * @return The pool of the member with the latest claim to be the primary, without those that
-   *     recently responded that they are not; empty if there is none that may be used.
+   *     recently responded that they are not; empty if there is none that may be used. A leaving
+   *     primary may not be used any more when its drain period ends, even if it was not replaced.
    */
   public Optional<MemberConnectionPool> primary() {
     long now = context.loop().now();
     return claimants()
         .filter(member -> member.notPrimaryUntil - now <= 0 && !member.isSuspended(now))
+        .filter(member -> !member.isDrained(now, context.drainPeriod().get()))
         .map(member -> member.pool)
         .findFirst()
         .filter(pool -> rights.mayUse(pool.entry().id()));
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberContext.java
@@ -1,5 +1,6 @@
 package org.hickoryshed.session.member;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -17,6 +18,7 @@
  * @param domain The failure domain of this process.
  * @param regions The region of each failure domain, by the name of the domain.
  * @param fencedByPlatform Tells if a replaced primary refuses writes without being told to.
+ * @param drainPeriod Supplies the time after which a leaving member gets no statements any more.
  * @param sharing Supplies the connection sharing, which is created after this record.
  * @param balancing Supplies how the member that serves a read is chosen.
  * @param loop The event loop that owns all connections.
@@ -28,6 +30,7 @@
     String domain,
     Map<String, String> regions,
     BooleanSupplier fencedByPlatform,
+    Supplier<Duration> drainPeriod,
     Supplier<ConnectionSharing> sharing,
     Supplier<BalancingMode> balancing,
     EventLoop loop,
