Order what the store says by its era first

What callers would see (issue "The store comes back from an older copy"): after the store came back from a copy, a primary that reports draining is not replaced and stays in use; new proxies do not find others; a new promotion may carry a number that was used before.

Cause: entries were ordered by the store's revision alone. A restored store gives lower revisions out again, so everything that members write after it counts as older than what is known.

A member that was leaving stays so although the copy shows it as ready, until it writes again.

--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
@@ -11,7 +11,8 @@
  * @param draining {@code true} if the member is about to leave.
  * @param primary {@code true} if the member considers itself the primary.
  * @param bornMillis The time at which its process started, in milliseconds since the epoch.
- * @param revision The revision of this entry, which increases with each change.
+ * @param revision The {@linkplain StoreRevisions qualified} revision of this entry, which increases
+ *     with each change.
  */
 public record MemberEntry(
     String id,
@@ -56,6 +57,11 @@
         && bornMillis == other.bornMillis;
   }
 
+  /** Returns the same entry of a member that is about to leave. */
+  public MemberEntry asDraining() {
+    return new MemberEntry(id, pool, address, domain, slots, true, primary, bornMillis, revision);
+  }
+
   /**
    * Checks whether this member has taken the place of another one that announced its end: the log
    * of that one was transferred to it.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
@@ -9,6 +9,7 @@
 import org.hickoryshed.decision.directory.MemberChanges;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.directory.MemberList;
+import org.hickoryshed.decision.directory.StoreRevisions;
 import org.hickoryshed.session.net.EventLoop;
 
 /**
@@ -126,8 +127,9 @@
    * Adds a member or updates its entry. An entry that is not newer than the known one only cancels
    * a pending removal of the member.
    */
-  private void put(MemberEntry entry) {
-    MemberEntry known = entries.get(entry.id());
+  private void put(MemberEntry listed) {
+    MemberEntry known = entries.get(listed.id());
+    MemberEntry entry = isRestoredFromBeforeDrain(known, listed) ? listed.asDraining() : listed;
     pendingRemovals.remove(entry.id());
     if (known != null && known.revision() >= entry.revision()) {
       return;
@@ -139,6 +141,17 @@
     listener.onEntry(entry);
   }
 
+  /**
+   * Checks if an entry may be from before the report that the member is leaving, because the store
+   * was restored from an older copy. The member writes its entry again soon.
+   */
+  private static boolean isRestoredFromBeforeDrain(MemberEntry known, MemberEntry listed) {
+    return known != null
+        && known.draining()
+        && known.isSameIncarnation(listed)
+        && StoreRevisions.eraOf(listed.revision()) > StoreRevisions.eraOf(known.revision());
+  }
+
   /** Removes a member after the removal delay, unless its entry is back by then. */
   private void scheduleRemoval(String id) {
     if (entries.containsKey(id) && pendingRemovals.add(id)) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionCoordinator.java
@@ -239,7 +239,8 @@
         return Optional.empty();
       }
       long revision = known == null ? 0 : known.revision;
-      long generation = known == null ? 1 : known.record.generation() + 1;
+      long last = known == null ? 0 : known.record.generation();
+      long generation = Math.max(last, records.generationFloor()) + 1;
       PromotionRecord record = new PromotionRecord(name, generation, member, clock.steadyMillis());
       switch (records.writeIfUnchanged(pool, revision, record)) {
         case PromotionRecordStore.WriteOutcome.Written written -> {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionRecordStore.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/PromotionRecordStore.java
@@ -3,6 +3,14 @@
 /** Stores the last promotion record of each pool; all proxies see the writes in the same order. */
 public interface PromotionRecordStore {
 
+  /**
+   * Returns the number that all new generation numbers have to exceed, because records with numbers
+   * up to it may have been lost.
+   */
+  default long generationFloor() {
+    return 0;
+  }
+
   /**
    * Writes a record if the stored one still has the given revision; blocks until the store responds
    * or the call fails.
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/StoredPromotions.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/StoredPromotions.java
@@ -68,8 +68,9 @@
   private void read(String pool, PromotionRecord record, boolean newIfUnknown) {
     executor.execute(
         () -> {
-          Long before = generations.put(pool, record.generation());
+          Long before = generations.get(pool);
           boolean later = before == null ? newIfUnknown : record.generation() > before;
+          generations.merge(pool, record.generation(), Math::max);
           if (later && !record.holder().equals(proxy)) {
             listener.onPromotion(record.holder(), pool, record.member());
           }
