--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/member/MemberRequests.java
@@ -72,7 +72,7 @@
    */
   public void command(
       MemberCommand command, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    command(pool::borrow, command, timeoutMillis, result);
+    send(pool::borrow, command, timeoutMillis, result);
   }
 
   /**
@@ -84,10 +84,10 @@
    */
   public void commandOverNewConnection(
       MemberCommand command, long timeoutMillis, Consumer<Optional<MemberStatusReport>> result) {
-    command(pool::borrowNew, command, timeoutMillis, result);
+    send(pool::borrowNew, command, timeoutMillis, result);
   }
 
-  private void command(
+  private void send(
       Consumer<Borrower> lender,
       MemberCommand command,
       long timeoutMillis,
@@ -99,7 +99,7 @@
             (connection, receiver) -> connection.command(command, receiver),
             response -> {
               if (isUnknownCommand(command, response)) {
-                command(lender, new MemberCommand.ReportStatus(), timeoutMillis, result);
+                send(lender, new MemberCommand.ReportStatus(), timeoutMillis, result);
               } else {
                 result.accept(response.flatMap(this::toReport));
               }
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/ReplicaPauses.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/promotion/ReplicaPauses.java
@@ -60,7 +60,7 @@
 
   /** Resumes the replicas of a pool that this process paused: it does not request the promotion. */
   void resume(String pool) {
-    Optional.ofNullable(paused.remove(pool)).orElse(Set.of()).forEach(this::resume);
+    Optional.ofNullable(paused.remove(pool)).orElse(Set.of()).forEach(this::sendResume);
   }
 
   /** Forgets the pauses of a pool, because a promotion ends them. */
@@ -113,10 +113,10 @@
                     (replica, report) ->
                         report
                             .filter(MemberStatusReport::isPaused)
-                            .ifPresent(r -> resume(replica))));
+                            .ifPresent(r -> sendResume(replica))));
   }
 
-  private void resume(MemberConnectionPool replica) {
+  private void sendResume(MemberConnectionPool replica) {
     replica
         .requests()
         .command(
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/relay/RelayCodec.java
@@ -214,7 +214,7 @@
               readPosition(unpacker),
               readShape(unpacker),
               unpacker.unpackString());
-      case 6 -> new RelayMessage.Command(unpacker.unpackLong(), new MemberCommand.ReportStatus());
+      case 6, 20, 21, 22 -> readCommand(kind, unpacker);
       case 7 -> new RelayMessage.Rollback(unpacker.unpackLong());
       case 8 -> new RelayMessage.Release(unpacker.unpackLong(), unpacker.unpackBoolean());
       case 9 -> new RelayMessage.Abort(unpacker.unpackLong(), unpacker.unpackString());
@@ -239,17 +239,23 @@
           new RelayMessage.AskDirectory(
               new DirectoryRequest(unpacker.unpackLong(), unpacker.unpackLong()));
       case 19 -> new RelayMessage.Directory(DirectoryCodec.read(unpacker));
-      case 20 ->
-          new RelayMessage.Command(
-              unpacker.unpackLong(), new MemberCommand.StepDown(unpacker.unpackLong()));
-      case 21 ->
-          new RelayMessage.Command(
-              unpacker.unpackLong(), new MemberCommand.Pause(unpacker.unpackLong()));
-      case 22 -> new RelayMessage.Command(unpacker.unpackLong(), new MemberCommand.Resume());
       default -> throw new IllegalArgumentException("unknown message kind " + kind);
     };
   }
 
+  private static RelayMessage readCommand(int kind, MessageUnpacker unpacker) throws IOException {
+    long loan = unpacker.unpackLong();
+    MemberCommand command =
+        switch (kind) {
+          case 6 -> new MemberCommand.ReportStatus();
+          case 20 -> new MemberCommand.StepDown(unpacker.unpackLong());
+          case 21 -> new MemberCommand.Pause(unpacker.unpackLong());
+          case 22 -> new MemberCommand.Resume();
+          default -> throw new IllegalArgumentException("no command is of kind " + kind);
+        };
+    return new RelayMessage.Command(loan, command);
+  }
+
   /**
    * Reads a flag that was added behind the other fields of a message. The version before does not
    * send it and ignores it.
