--- /dev/null
+++ b/hickoryshed-decision/src/test/java/org/hickoryshed/decision/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of what the directory orders and compares. */
+package org.hickoryshed.decision.directory;
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/directory/RegisteredMembersTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/directory/RegisteredMembersTest.java
@@ -8,6 +8,7 @@
 import org.hickoryshed.decision.directory.MemberChanges;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.directory.MemberList;
+import org.hickoryshed.decision.directory.StoreRevisions;
 import org.hickoryshed.session.net.EventLoop;
 import org.junit.jupiter.api.Test;
 
@@ -41,6 +42,19 @@
     assertThat(members.isRegistered("z")).isFalse();
   }
 
+  /** Guards against the use of a leaving member after the store was restored. */
+  @Test
+  void keepsMemberLeavingInRestoredCopyUntilItWritesAgain() {
+    replace(10, entry("a", 7).asDraining());
+
+    replace(StoreRevisions.qualify(2, 8), entry("a", StoreRevisions.qualify(2, 5)));
+    assertThat(members.list().entries().get(0).draining()).isTrue();
+
+    long later = StoreRevisions.qualify(2, 9);
+    members.apply(new MemberChanges(later, List.of(entry("a", later)), Set.of()));
+    assertThat(members.list().entries().get(0).draining()).isFalse();
+  }
+
   private void replace(long revision, MemberEntry... entries) {
     members.replace(new MemberList(revision, OptionalLong.empty(), List.of(entries)));
   }
