--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/MemberEntry.java
@@ -11,7 +11,7 @@
  * @param draining {@code true} if the member is about to leave.
  * @param primary {@code true} if the member considers itself the primary.
  * @param bornMillis The time at which its process started, in milliseconds since the epoch.
- * @param revision The {@linkplain StoreRevisions qualified} revision of this entry, which increases
+ * @param revision The {@linkplain RevisionOrder qualified} revision of this entry, which increases
  *     with each change.
  */
 public record MemberEntry(
--- a/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/StoreRevisions.java
+++ b/hickoryshed-decision/src/main/java/org/hickoryshed/decision/directory/RevisionOrder.java
@@ -8,7 +8,7 @@
  * numbers of a later era are higher whatever their revisions. In the first era, and where the store
  * tells no era, a qualified revision is the plain one.
  */
-public final class StoreRevisions {
+public final class RevisionOrder {
 
   /** The era before the store was restored for the first time. */
   public static final long FIRST_ERA = 1;
@@ -20,7 +20,7 @@
 
   private static final long REVISION_MASK = (1L << REVISION_BITS) - 1;
 
-  private StoreRevisions() {}
+  private RevisionOrder() {}
 
   /** Returns the qualified revision of a revision that the store gave out in an era. */
   public static long qualify(long era, long revision) {
--- a/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
+++ b/hickoryshed-session/src/main/java/org/hickoryshed/session/directory/RegisteredMembers.java
@@ -9,7 +9,7 @@
 import org.hickoryshed.decision.directory.MemberChanges;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.directory.MemberList;
-import org.hickoryshed.decision.directory.StoreRevisions;
+import org.hickoryshed.decision.directory.RevisionOrder;
 import org.hickoryshed.session.net.EventLoop;
 
 /**
@@ -149,7 +149,7 @@
     return known != null
         && known.draining()
         && known.isSameIncarnation(listed)
-        && StoreRevisions.eraOf(listed.revision()) > StoreRevisions.eraOf(known.revision());
+        && RevisionOrder.eraOf(listed.revision()) > RevisionOrder.eraOf(known.revision());
   }
 
   /** Removes a member after the removal delay, unless its entry is back by then. */
--- a/hickoryshed-session/src/test/java/org/hickoryshed/session/directory/RegisteredMembersTest.java
+++ b/hickoryshed-session/src/test/java/org/hickoryshed/session/directory/RegisteredMembersTest.java
@@ -8,7 +8,7 @@
 import org.hickoryshed.decision.directory.MemberChanges;
 import org.hickoryshed.decision.directory.MemberEntry;
 import org.hickoryshed.decision.directory.MemberList;
-import org.hickoryshed.decision.directory.StoreRevisions;
+import org.hickoryshed.decision.directory.RevisionOrder;
 import org.hickoryshed.session.net.EventLoop;
 import org.junit.jupiter.api.Test;
 
@@ -47,10 +47,10 @@
   void keepsMemberLeavingInRestoredCopyUntilItWritesAgain() {
     replace(10, entry("a", 7).asDraining());
 
-    replace(StoreRevisions.qualify(2, 8), entry("a", StoreRevisions.qualify(2, 5)));
+    replace(RevisionOrder.qualify(2, 8), entry("a", RevisionOrder.qualify(2, 5)));
     assertThat(members.list().entries().get(0).draining()).isTrue();
 
-    long later = StoreRevisions.qualify(2, 9);
+    long later = RevisionOrder.qualify(2, 9);
     members.apply(new MemberChanges(later, List.of(entry("a", later)), Set.of()));
     assertThat(members.list().entries().get(0).draining()).isFalse();
   }
